--- a/error.go
+++ b/error.go
@@ -13,6 +13,8 @@
 	KindUnavailable Kind = "unavailable"
 	KindUncertain   Kind = "uncertain"
 	KindInvalid     Kind = "invalid"
+	// KindExpired says that the store no longer knows what happened since the given revision.
+	KindExpired Kind = "expired"
 )
 
 // Error is the failure of an operation behind one of this package's interfaces.
--- /dev/null
+++ b/state/runner/set.go
@@ -0,0 +1,75 @@
+package runner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Set is the runners that are registered.
+type Set struct {
+	byID      map[string]Runner
+	byService map[string][]Runner
+}
+
+// NewSet returns a set of runners.
+func NewSet(runners ...Runner) Set {
+	byID := make(map[string]Runner, len(runners))
+	for _, r := range runners {
+		byID[r.id] = r
+	}
+	return indexed(byID)
+}
+
+func indexed(byID map[string]Runner) Set {
+	s := Set{byID: byID, byService: map[string][]Runner{}}
+	for _, r := range byID {
+		s.byService[r.service] = append(s.byService[r.service], r)
+	}
+	for _, list := range s.byService {
+		slices.SortFunc(list, func(a, b Runner) int { return cmp.Compare(a.id, b.id) })
+	}
+	return s
+}
+
+// Runner returns the runner with an identifier.
+func (s Set) Runner(id string) (Runner, bool) {
+	r, ok := s.byID[id]
+	return r, ok
+}
+
+// Of returns a service's runners in order of identifiers, which the caller must not change.
+func (s Set) Of(service string) []Runner { return s.byService[service] }
+
+// All returns all runners in order of identifiers.
+func (s Set) All() []Runner {
+	all := make([]Runner, 0, len(s.byID))
+	for _, id := range slices.Sorted(maps.Keys(s.byID)) {
+		all = append(all, s.byID[id])
+	}
+	return all
+}
+
+// Len returns how many runners there are.
+func (s Set) Len() int { return len(s.byID) }
+
+// With returns the set with runners added or replaced.
+func (s Set) With(runners ...Runner) Set {
+	byID := maps.Clone(s.byID)
+	if byID == nil {
+		byID = map[string]Runner{}
+	}
+	for _, r := range runners {
+		byID[r.id] = r
+	}
+	return indexed(byID)
+}
+
+// Without returns the set without the named runners.
+func (s Set) Without(ids ...string) Set {
+	byID := maps.Clone(s.byID)
+	for _, id := range ids {
+		delete(byID, id)
+	}
+	return indexed(byID)
+}
