coordination: Decide what an entry on the users' platform believes and does

The dispatcher learns back ends that remember nothing (Direct); the retrier's burst may change, as entries share a bound.

--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -35,6 +35,7 @@
 type Dispatch struct {
 	repeatable bool
 	keyed      bool
+	direct     bool
 	attempts   int
 	resumes    int
 	avoid      []string
@@ -57,6 +58,10 @@
 // Resumes sets how many times in a row the answer is resumed without progress.
 func Resumes(n int) Option { return func(d *Dispatch) { d.resumes = n } }
 
+// Direct says that attempts go to back ends that remember nothing of them: what was cut is never resumed there or
+// settled, and a repeatable answer goes on at another endpoint after the last frame that was forwarded.
+func Direct() Option { return func(d *Dispatch) { d.direct = true } }
+
 // Resuming starts at an answer that is already under way, from the frame at offset on.
 func Resuming(offset uint64) Option {
 	return func(d *Dispatch) { d.next, d.sent, d.number = offset, true, 1 }
@@ -127,6 +132,8 @@
 func (d Dispatch) refused(endpoint string, f attempt.Frame) (Dispatch, Action) {
 	certain := f.Outcome() == attempt.OutcomeNotRun
 	switch {
+	case d.direct && certain:
+		return d.again(endpoint, f.Reason())
 	case d.next > 0:
 		return d.doubtful(f.Reason())
 	case certain && d.keyed:
@@ -146,6 +153,9 @@
 
 func (d Dispatch) failed(endpoint string, sent bool) (Dispatch, Action) {
 	d.sent = d.sent || sent
+	if d.direct {
+		return d.failedDirect(endpoint)
+	}
 	switch {
 	case !d.sent && d.keyed && d.resends < d.attempts:
 		return d.resend()
@@ -164,6 +174,18 @@
 	return d.settle()
 }
 
+// failedDirect handles a connection to a back end that remembers nothing.
+func (d Dispatch) failedDirect(endpoint string) (Dispatch, Action) {
+	switch {
+	case !d.sent:
+		return d.again(endpoint, ReasonUnreachable)
+	case d.repeatable:
+		d.doubt = true
+		return d.again(endpoint, ReasonCut)
+	}
+	return d.doubtful(ReasonCut)
+}
+
 // resend sends the live attempt again to the incarnation that it is bound to, which runs it once at most.
 func (d Dispatch) resend() (Dispatch, Action) {
 	d.resends++
--- /dev/null
+++ b/coordination/follower/follower.go
@@ -0,0 +1,116 @@
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/kingcupstile/kingcupstile"
+	"github.com/kingcupstile/kingcupstile/state/fault"
+	"github.com/kingcupstile/kingcupstile/state/listing"
+)
+
+// The times of calls and pauses.
+const (
+	// DefaultWait is how long a watch waits: news counts from when it was asked for, so that it is never older than two waits.
+	DefaultWait = 900 * time.Millisecond
+	// slack is how much later than its wait the answer of a watch may come: a hundred times the store's usual time.
+	slack = 400 * time.Millisecond
+	// listTimeout bounds a listing, which may take several pages.
+	listTimeout = 2 * time.Second
+	// minPause and maxPause bound the pause after a failure; the latter keeps a returning store from being missed for long.
+	minPause = 50 * time.Millisecond
+	maxPause = 400 * time.Millisecond
+)
+
+// Sink takes what a follower learns; asked is when the question was sent.
+type Sink[T any] interface {
+	// Listed brings all objects.
+	Listed(l listing.Listing[T], asked time.Duration)
+	// Changed brings what changed since the last report, which may be nothing.
+	Changed(c listing.Changes[T], asked time.Duration)
+	// Lost says that a call failed.
+	Lost(err error)
+}
+
+// Follower reads one feed for one sink.
+type Follower[T any] struct {
+	feed  kingcupstile.Feed[T]
+	clock kingcupstile.Clock
+	sink  Sink[T]
+	wait  time.Duration
+}
+
+// Option sets a field of a Follower under construction.
+type Option[T any] func(*Follower[T])
+
+// Wait sets how long a watch waits.
+func Wait[T any](d time.Duration) Option[T] { return func(f *Follower[T]) { f.wait = d } }
+
+// New returns a follower that brings what it learns to sink.
+func New[T any](feed kingcupstile.Feed[T], clock kingcupstile.Clock, sink Sink[T], options ...Option[T]) *Follower[T] {
+	f := &Follower[T]{feed: feed, clock: clock, sink: sink, wait: DefaultWait}
+	for _, option := range options {
+		option(f)
+	}
+	return f
+}
+
+// Run follows until ctx ends.
+func (f *Follower[T]) Run(ctx context.Context) {
+	pause := minPause
+	for ctx.Err() == nil {
+		revision, err := f.list(ctx)
+		for err == nil {
+			pause = minPause
+			revision, err = f.changes(ctx, revision)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if fault.KindOf[kingcupstile.Kind](err) == kingcupstile.KindExpired {
+			continue
+		}
+		f.sink.Lost(err)
+		if !sleep(ctx, pause) {
+			return
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+func (f *Follower[T]) list(ctx context.Context) (uint64, error) {
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	asked := f.clock.Now()
+	l, err := f.feed.List(call)
+	if err != nil {
+		return 0, err
+	}
+	f.sink.Listed(l, asked)
+	return l.Revision, nil
+}
+
+func (f *Follower[T]) changes(ctx context.Context, revision uint64) (uint64, error) {
+	call, cancel := context.WithTimeout(ctx, f.wait+slack)
+	defer cancel()
+	asked := f.clock.Now()
+	c, err := f.feed.Changes(call, revision, f.wait)
+	if err != nil {
+		return 0, err
+	}
+	f.sink.Changed(c, asked)
+	return c.Revision, nil
+}
+
+// sleep waits between half of d and d, and reports whether ctx is still going on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d/2 + rand.N(d/2))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/coordination/overseer/state.go
@@ -0,0 +1,113 @@
+package overseer
+
+import (
+	"time"
+
+	"github.com/kingcupstile/kingcupstile/state/peer"
+	"github.com/kingcupstile/kingcupstile/state/routing"
+	"github.com/kingcupstile/kingcupstile/state/runner"
+)
+
+const (
+	// DefaultTrust is how old the knowledge of keys may be unless the settings say otherwise.
+	DefaultTrust = 3 * time.Second
+	// returnTime is how long a registration that lapsed while the store was away may take to come back: the platform
+	// says about two seconds.
+	returnTime = 2200 * time.Millisecond
+	// outage is how long the store has to be away before lapsed registrations are waited for: a fast runner's two heartbeats.
+	outage = time.Second
+	// silence is how long an entry may be unheard before callers are not sent to it: five beats at the default interval.
+	silence = time.Second
+	// forgetAfter is how long an entry is unheard before its registration is removed; replaced VMs are gone for good.
+	forgetAfter = time.Minute
+)
+
+// doubt is a runner whose registration went while the store was away.
+type doubt struct {
+	runner runner.Runner
+	until  time.Duration
+}
+
+// entry is another entry.
+type entry struct {
+	peer  peer.Peer
+	beat  peer.Beat
+	heard time.Duration
+	// since is when it was first listed.
+	since time.Duration
+}
+
+// State is what an entry believes.
+type State struct {
+	self      peer.Peer
+	trust     time.Duration
+	table     routing.Table
+	confirmed time.Duration
+	known     bool
+	runners   runner.Set
+	listed    bool
+	doubts    map[string]doubt
+	lostSince time.Duration
+	lost      bool
+	returned  time.Duration
+	peers     map[string]entry
+	leaving   bool
+	// fresh is what Noted last said of the configuration's age.
+	fresh bool
+}
+
+// Option sets a field of a State under construction.
+type Option func(*State)
+
+// Trust sets how old the knowledge of keys may be.
+func Trust(d time.Duration) Option { return func(s *State) { s.trust = d } }
+
+// New returns the state of an entry that knows nothing but itself.
+func New(self peer.Peer, options ...Option) State {
+	s := State{self: self, trust: DefaultTrust, doubts: map[string]doubt{}, peers: map[string]entry{}}
+	for _, option := range options {
+		option(&s)
+	}
+	return s
+}
+
+// Table returns the configuration in force, and false if none is known.
+func (s State) Table() (routing.Table, bool) { return s.table, s.known }
+
+// Age returns how old the knowledge is that the configuration is the newest.
+func (s State) Age(now time.Duration) time.Duration { return now - s.confirmed }
+
+// IsFresh reports whether keys may be judged by the configuration.
+func (s State) IsFresh(now time.Duration) bool { return s.known && s.Age(now) < s.trust }
+
+// Runners returns the runners that may get work and those that leave.
+func (s State) Runners() runner.Set { return s.runners }
+
+// IsLeaving reports whether this entry is about to stop.
+func (s State) IsLeaving() bool { return s.leaving }
+
+// IsReady reports whether this entry can serve callers.
+func (s State) IsReady(now time.Duration) bool { return !s.leaving && s.listed && s.IsFresh(now) }
+
+// Self returns this entry's registration.
+func (s State) Self() peer.Peer { return s.self }
+
+// Peers returns the other entries' registrations.
+func (s State) Peers() []peer.Peer {
+	list := make([]peer.Peer, 0, len(s.peers))
+	for _, e := range s.peers {
+		list = append(list, e.peer)
+	}
+	return list
+}
+
+// Beats returns the last beats of the entries that were heard lately.
+func (s State) Beats(now time.Duration) []peer.Beat {
+	var list []peer.Beat
+	for _, e := range s.peers {
+		if e.heard > 0 && now-e.heard < silence && e.beat.Start == e.peer.Start {
+			list = append(list, e.beat)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/coordination/placer/board.go
@@ -0,0 +1,110 @@
+package placer
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/kingcupstile/kingcupstile/state/peer"
+)
+
+// fadeTime is the time in which the memory of failures halves, so that a runner is tried again after a few seconds.
+const fadeTime = 2 * time.Second
+
+// maxFailures is the most failures that are remembered of one runner.
+const maxFailures = 8
+
+// Board counts this entry's open work and each runner's recent failures; it is traffic state.
+type Board struct {
+	mu       sync.Mutex
+	open     map[string]peer.Open
+	failures map[string]failure
+}
+
+// failure is how often a runner failed lately, as of a time.
+type failure struct {
+	count float64
+	at    time.Duration
+}
+
+// NewBoard returns a board with nothing open.
+func NewBoard() *Board {
+	return &Board{open: map[string]peer.Open{}, failures: map[string]failure{}}
+}
+
+// Open counts a request with a number of prompt tokens on a runner; read is to be called once they are read, and
+// done when the request is over.
+func (b *Board) Open(id string, tokens int) (read, done func()) {
+	b.add(id, 1, tokens)
+	read = sync.OnceFunc(func() { b.add(id, 0, -tokens) })
+	return read, sync.OnceFunc(func() {
+		read()
+		b.add(id, -1, 0)
+	})
+}
+
+func (b *Board) add(id string, requests, tokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	o := b.open[id]
+	o.Requests += requests
+	o.Unread += tokens
+	if o == (peer.Open{}) {
+		delete(b.open, id)
+		return
+	}
+	b.open[id] = o
+}
+
+// Fail remembers that a runner did not answer as it should.
+func (b *Board) Fail(id string, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failures[id] = failure{count: min(b.faded(id, now)+1, maxFailures), at: now}
+}
+
+// Succeed forgets a runner's failures.
+func (b *Board) Succeed(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.failures, id)
+}
+
+// faded returns how many failures count now.
+func (b *Board) faded(id string, now time.Duration) float64 {
+	f, there := b.failures[id]
+	if !there {
+		return 0
+	}
+	halves := float64(now-f.at) / float64(fadeTime)
+	for ; halves >= 1; halves-- {
+		f.count /= 2
+	}
+	return f.count * (1 - max(0, halves)/2)
+}
+
+// Snapshot returns this entry's open work by runner.
+func (b *Board) Snapshot() map[string]peer.Open {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.open)
+}
+
+// View returns what is known of all runners now, with the other entries' work added.
+func (b *Board) View(beats []peer.Beat, now time.Duration) View {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v := View{open: maps.Clone(b.open), failures: make(map[string]float64, len(b.failures))}
+	for _, beat := range beats {
+		for id, o := range beat.Open {
+			sum := v.open[id]
+			sum.Requests += o.Requests
+			sum.Unread += o.Unread
+			v.open[id] = sum
+		}
+	}
+	for id := range b.failures {
+		v.failures[id] = b.faded(id, now)
+	}
+	return v
+}
--- a/coordination/retrier/budget.go
+++ b/coordination/retrier/budget.go
@@ -15,6 +15,13 @@
 // Left returns how many retries are left.
 func (b Budget) Left() int { return int(b.left) }
 
+// WithBurst returns the budget with room for another number of retries.
+func (b Budget) WithBurst(burst int) Budget {
+	b.burst = float64(burst)
+	b.left = min(b.left, b.burst)
+	return b
+}
+
 // WithRequest returns the budget after one more request, which adds a share of a retry.
 func (b Budget) WithRequest(share float64) Budget {
 	b.left = min(b.left+share, b.burst)
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -11,7 +11,7 @@
 
 // Retrier implements the root package's Retrier with a budget for each service.
 type Retrier struct {
-	burst   int
+	burst   func() int
 	budgets sync.Map
 }
 
@@ -25,11 +25,14 @@
 type Option func(*Retrier)
 
 // Burst sets how many retries a service may save up.
-func Burst(n int) Option { return func(r *Retrier) { r.burst = n } }
+func Burst(n int) Option { return Bursts(func() int { return n }) }
+
+// Bursts sets how many retries a service may save up at any moment, which changes where entries share a bound.
+func Bursts(f func() int) Option { return func(r *Retrier) { r.burst = f } }
 
 // New returns a retrier whose budgets are full.
 func New(options ...Option) *Retrier {
-	r := &Retrier{burst: DefaultBurst}
+	r := &Retrier{burst: func() int { return DefaultBurst }}
 	for _, option := range options {
 		option(r)
 	}
@@ -41,7 +44,7 @@
 	s := r.of(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget = s.budget.WithRequest(share)
+	s.budget = s.budget.WithBurst(r.burst()).WithRequest(share)
 }
 
 // Allow reports whether a request of a service may be sent again after an attempt failed for a reason.
@@ -63,7 +66,7 @@
 func (r *Retrier) of(service string) *shared {
 	value, found := r.budgets.Load(service)
 	if !found {
-		value, _ = r.budgets.LoadOrStore(service, &shared{budget: NewBudget(r.burst)})
+		value, _ = r.budgets.LoadOrStore(service, &shared{budget: NewBudget(r.burst())})
 	}
 	return value.(*shared)
 }
