--- a/cmd/kingcupstiled/main.go
+++ b/cmd/kingcupstiled/main.go
@@ -9,7 +9,7 @@
 )
 
 func main() {
-	if err := commands.Daemon(os.Stderr).Run(context.Background(), os.Args); err != nil {
+	if err := commands.Daemon(os.Stdout).Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -21,6 +21,7 @@
 		Name:           "kingcupstiled",
 		Usage:          "run the role that a settings file names",
 		ArgsUsage:      "SETTINGS",
+		Commands:       []*cli.Command{serveCommand(out)},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if c.Args().Len() != 1 {
--- /dev/null
+++ b/commands/serve.go
@@ -0,0 +1,59 @@
+package commands
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/kingcupstile/kingcupstile/platform"
+	"github.com/kingcupstile/kingcupstile/protocol/parser"
+	"github.com/kingcupstile/kingcupstile/protocol/translator"
+	"github.com/kingcupstile/kingcupstile/state/fault"
+	"github.com/kingcupstile/kingcupstile/transport/gateway"
+	"github.com/kingcupstile/kingcupstile/transport/logger"
+	"github.com/kingcupstile/kingcupstile/transport/timekeeper"
+)
+
+const settingsFlag = "settings"
+
+// lifetime is how long callers may keep an answer on which entries to use, so that a leaving entry is soon left alone.
+const lifetime = 2 * time.Second
+
+// serveCommand runs a daemon on the users' platform.
+func serveCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run the role that the settings name on the users' platform",
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: settingsFlag, Usage: "the settings file", Required: true, Sources: cli.EnvVars(platform.SettingsVariable),
+		}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			file := c.String(settingsFlag)
+			text, err := os.ReadFile(file)
+			if err != nil {
+				return fault.New("run daemon", KindFiles, err)
+			}
+			settings, err := parser.ParsePlace(file, text)
+			if err != nil {
+				return fault.New("run daemon", KindFiles, err)
+			}
+			log := logger.New(out, settings.Level)
+			client, codec := platform.NewClient(settings.Store), translator.Peers{}
+			stop, _, release := signals(ctx)
+			defer release()
+			return gateway.New(settings, gateway.World{
+				Config:   platform.Config(client, log),
+				Runners:  platform.Servers(client, log),
+				Entries:  platform.Entries(client, codec, log),
+				Registry: platform.EntryRegistry(client, codec),
+				Dialect:  platform.Dialect{},
+				Clock:    timekeeper.Clock{},
+				Lookup:   platform.Lookup(min(lifetime, settings.Lifetime)),
+				Ready:    platform.Ready,
+			}, log).Run(stop)
+		},
+	}
+}
--- a/shape_test.go
+++ b/shape_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -60,6 +61,9 @@
 	}
 	i := slices.Index(layers, top)
 	switch {
+	case top == "platform":
+		// The adapter translates messages, as the layer protocol does.
+		return slices.Index(layers, "protocol") + 1
 	case i < 0:
 		t.Fatalf("%s is in no layer", path)
 	case i == 0:
@@ -112,3 +116,42 @@
 		}
 	}
 }
+
+func TestPlatformDecidesNothing(t *testing.T) {
+	for _, p := range list(t) {
+		if p.ImportPath != module+"/platform" {
+			continue
+		}
+		for _, imported := range p.Imports {
+			if strings.HasPrefix(imported, module+"/coordination") || strings.HasPrefix(imported, module+"/transport") {
+				t.Errorf("%s imports %s", p.ImportPath, imported)
+			}
+		}
+	}
+}
+
+// spelled are names on the users' wire that no package but the adapter and its stand-in may know.
+var spelled = []string{
+	"kingcupstile/objects", "kingcupstile/lookup", "kingcupstile/readyz", "kingcupstile/report", "kingcupstile/picked", "kingcupstile/order",
+	"X-Server-Seal", "X-Expect-Instance", "X-Not-Executed", "X-Deadline-Ms", "X-Token-Count", "X-Prefix-Hash", "At-Server", "X-Tenant",
+	"KINGCUPSTILE_NODE_FILE", "coldLeftMs", "gapTargetMs",
+}
+
+func TestOnlyThePlatformSpellsItsNames(t *testing.T) {
+	for _, p := range list(t) {
+		if strings.HasPrefix(p.ImportPath, module+"/platform") || strings.HasPrefix(p.ImportPath, module+"/standin/site") {
+			continue
+		}
+		for _, file := range p.GoFiles {
+			text, err := os.ReadFile(filepath.Join(p.Dir, file))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, name := range spelled {
+				if strings.Contains(string(text), name) {
+					t.Errorf("%s/%s spells %s", p.ImportPath, file, name)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/transport/forwarder/writer.go
@@ -0,0 +1,50 @@
+package forwarder
+
+import (
+	"net/http"
+
+	"github.com/kingcupstile/kingcupstile/state/attempt"
+)
+
+// writer writes an answer to a caller.
+type writer struct {
+	out     http.ResponseWriter
+	control *http.ResponseController
+	started bool
+}
+
+func newWriter(w http.ResponseWriter) *writer {
+	return &writer{out: w, control: http.NewResponseController(w)}
+}
+
+// write writes a frame at once.
+func (w *writer) write(f attempt.Frame) error {
+	if f.Status() > 0 {
+		w.started = true
+		h := w.out.Header()
+		for name, values := range f.Header() {
+			h[name] = values
+		}
+		if h.Get("Content-Type") == "" {
+			// The server would otherwise guess one.
+			h["Content-Type"] = nil
+		}
+		w.out.WriteHeader(f.Status())
+	}
+	if len(f.Data()) == 0 {
+		return nil
+	}
+	if _, err := w.out.Write(f.Data()); err != nil {
+		return err
+	}
+	return w.control.Flush()
+}
+
+// abort ends the connection, so that the answer does not look complete.
+func (w *writer) abort() {
+	connection, _, err := w.control.Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_ = connection.Close()
+}
--- /dev/null
+++ b/transport/gateway/gateway.go
@@ -0,0 +1,224 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/kingcupstile/kingcupstile"
+	"github.com/kingcupstile/kingcupstile/coordination/follower"
+	"github.com/kingcupstile/kingcupstile/coordination/looper"
+	"github.com/kingcupstile/kingcupstile/coordination/overseer"
+	"github.com/kingcupstile/kingcupstile/coordination/placer"
+	"github.com/kingcupstile/kingcupstile/coordination/retrier"
+	"github.com/kingcupstile/kingcupstile/protocol/parser"
+	"github.com/kingcupstile/kingcupstile/protocol/translator"
+	"github.com/kingcupstile/kingcupstile/state/fault"
+	"github.com/kingcupstile/kingcupstile/state/peer"
+	"github.com/kingcupstile/kingcupstile/state/routing"
+	"github.com/kingcupstile/kingcupstile/state/runner"
+	"github.com/kingcupstile/kingcupstile/transport/beater"
+	"github.com/kingcupstile/kingcupstile/transport/forwarder"
+	"github.com/kingcupstile/kingcupstile/transport/meter"
+)
+
+// Kind classifies why an entry could not run.
+type Kind string
+
+// KindListen says that an address could not be listened on.
+const KindListen Kind = "listen"
+
+// Error is an entry that could not run.
+type Error = fault.Error[Kind]
+
+// World is what an entry needs of the platform.
+type World struct {
+	Config   kingcupstile.Feed[routing.Table]
+	Runners  kingcupstile.Feed[runner.Runner]
+	Entries  kingcupstile.Feed[peer.Peer]
+	Registry kingcupstile.Registry[peer.Peer]
+	Dialect  kingcupstile.Dialect
+	Clock    kingcupstile.Clock
+	// Lookup serves callers that ask which entries to use, given the addresses for a data centre and region.
+	Lookup func(addresses func(centre, region string) []string) http.Handler
+	// Ready serves the platform's question whether the entry takes callers.
+	Ready func(ready func() bool) http.Handler
+}
+
+// Gateway runs an entry.
+type Gateway struct {
+	settings parser.Place
+	world    World
+	log      *slog.Logger
+	loop     *looper.Loop[overseer.State, overseer.Event, overseer.Effect]
+	board    *placer.Board
+	forward  *forwarder.Forwarder
+	meter    *meter.Meter
+	self     peer.Peer
+}
+
+// New returns an entry with the given settings.
+func New(s parser.Place, w World, log *slog.Logger) *Gateway {
+	return &Gateway{
+		settings: s, world: w, log: log.With("vm", s.Name), board: placer.NewBoard(), meter: meter.New(),
+		self: peer.Peer{
+			Name: s.Name, Start: time.Now().UnixNano(), Callers: s.Callers, Centre: s.Centre, Region: s.Region,
+			Beats: net.JoinHostPort(s.IP, strconv.Itoa(s.Internal[0])),
+		},
+	}
+}
+
+const (
+	// headerTime and idleTime bound what callers may leave undone; operators' bounds are tighter and callers keep to them.
+	headerTime = 10 * time.Second
+	idleTime   = time.Minute
+	// tickEvery is how often the control goroutine looks at ages.
+	tickEvery = 100 * time.Millisecond
+	// retryTime is the pause before a registration is tried again.
+	retryTime = 300 * time.Millisecond
+	// burstShare is the part of the bound on retries that entries save up together; the rest is for entries that start anew.
+	burstShare = 0.4
+	// ratioShare is the part of the bounded share of retries that entries use.
+	ratioShare = 0.75
+)
+
+// Run serves until stop ends, then leaves without cutting a request in progress.
+func (g *Gateway) Run(stop context.Context) error {
+	control, end := context.WithCancel(context.WithoutCancel(stop))
+	defer end()
+	g.loop = looper.New(overseer.New(g.self, overseer.Trust(g.settings.Trust())), overseer.Step, g.handle)
+	scope, closer := g.meter.Scope("kingcup")
+	defer func() { _ = closer.Close() }()
+	g.forward = forwarder.New(g.loop.Snapshot, g.world.Clock, g.world.Dialect,
+		forwarder.Log(g.log), forwarder.Metrics(scope), forwarder.Board(g.board),
+		forwarder.Retries(retrier.New(retrier.Bursts(g.burst)), ratioShare*g.settings.Retries),
+	)
+	go g.loop.Run(control)
+	go follower.New(g.world.Config, g.world.Clock, configSink{g}).Run(control)
+	go follower.New(g.world.Runners, g.world.Clock, runnerSink{g}).Run(control)
+	go follower.New(g.world.Entries, g.world.Clock, peerSink{g}, follower.Wait[peer.Peer](entryWait)).Run(control)
+	go g.tick(control)
+	servers, err := g.listen(control)
+	defer func() {
+		for _, s := range servers {
+			_ = s.Close()
+		}
+	}()
+	if err != nil {
+		return err
+	}
+	go g.register(control)
+	g.log.Info("entry starts", "callers", g.settings.Callers, "centre", g.settings.Centre)
+	<-stop.Done()
+	g.leave(control)
+	return nil
+}
+
+// burst returns how many retries this entry may save up.
+func (g *Gateway) burst() int {
+	entries := len(g.loop.Snapshot().Peers()) + 1
+	return max(1, int(burstShare*float64(g.settings.Slack)/float64(entries)))
+}
+
+// listen opens the entry's addresses.
+func (g *Gateway) listen(ctx context.Context) ([]*http.Server, error) {
+	handlers := map[string]http.Handler{
+		g.settings.Callers: g.forward,
+		g.settings.Lookup: g.world.Lookup(func(centre, region string) []string {
+			return g.loop.Snapshot().Addresses(centre, region, g.world.Clock.Now())
+		}),
+		g.settings.Ready: g.world.Ready(func() bool { return g.loop.Snapshot().IsReady(g.world.Clock.Now()) }),
+	}
+	if g.settings.Page != "" {
+		handlers[g.settings.Page] = g.meter
+	}
+	var servers []*http.Server
+	for address, handler := range handlers {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		if err != nil {
+			return servers, fault.New("listen", KindListen, err)
+		}
+		server := &http.Server{
+			Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+			ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+		}
+		servers = append(servers, server)
+		go func() { _ = server.Serve(l) }()
+	}
+	socket, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp4", g.self.Beats)
+	if err != nil {
+		return servers, fault.New("listen", KindListen, err)
+	}
+	go beater.New(socket, translator.Peers{}, g.log).Run(ctx, g.speak, g.hear)
+	return servers, nil
+}
+
+// speak returns this entry's heartbeat and those to whom it goes.
+func (g *Gateway) speak() (peer.Beat, []peer.Peer) {
+	state := g.loop.Snapshot()
+	table, _ := state.Table()
+	return peer.Beat{
+		Name: g.self.Name, Start: g.self.Start, Ready: state.IsReady(g.world.Clock.Now()), Leaving: state.IsLeaving(),
+		Version: table.Version(), Open: g.board.Snapshot(),
+	}, state.Peers()
+}
+
+func (g *Gateway) hear(b peer.Beat) {
+	g.send(overseer.Heard{Beat: b, At: g.world.Clock.Now()})
+}
+
+// send hands an event to the control goroutine.
+func (g *Gateway) send(e overseer.Event) {
+	if err := g.loop.Send(context.Background(), e); err != nil {
+		g.log.Debug("event dropped", "error", err)
+	}
+}
+
+// register keeps trying until the entry is registered.
+func (g *Gateway) register(ctx context.Context) {
+	for {
+		err := g.world.Registry.Register(ctx, g.self.Name, g.self)
+		if err == nil {
+			return
+		}
+		g.log.Warn("not registered", "error", err)
+		if !pause(ctx, retryTime) {
+			return
+		}
+	}
+}
+
+func (g *Gateway) tick(ctx context.Context) {
+	for pause(ctx, tickEvery) {
+		g.send(overseer.Tick{At: g.world.Clock.Now()})
+	}
+}
+
+// handle carries out an effect; it runs on the control goroutine and must not block.
+func (g *Gateway) handle(ctx context.Context, effect overseer.Effect) {
+	switch e := effect.(type) {
+	case overseer.Noted:
+		g.log.Info(e.What, e.Details...)
+	case overseer.Forget:
+		go func() {
+			if err := g.world.Registry.Remove(ctx, e.Name); err != nil {
+				g.log.Warn("registration not removed", "entry", e.Name, "error", err)
+			}
+		}()
+	}
+}
+
+// pause waits and reports whether ctx is still going on.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/transport/timekeeper/doc.go
@@ -0,0 +1,2 @@
+// Package timekeeper reads the machine's clock that counts time in which the machine was suspended.
+package timekeeper
