conductor: Level experts by maps that the first rank's process switches

Cause: the most loaded rank had 3.59 times the mean, so that half of the drafts were late or refused. The process beside each runner reads counts and passes orders on free of charge; the one beside the first rank plans (leveler) and switches: prepare, hold a later step on its own rank, arm all, release once all were seen armed. A deputy completes what a silent leader left.

--- a/commands/serve.go
+++ b/commands/serve.go
@@ -8,10 +8,12 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/platform"
 	"github.com/kingcupstile/kingcupstile/protocol/parser"
 	"github.com/kingcupstile/kingcupstile/protocol/translator"
 	"github.com/kingcupstile/kingcupstile/state/fault"
+	"github.com/kingcupstile/kingcupstile/transport/caretaker"
 	"github.com/kingcupstile/kingcupstile/transport/gateway"
 	"github.com/kingcupstile/kingcupstile/transport/logger"
 	"github.com/kingcupstile/kingcupstile/transport/timekeeper"
@@ -44,9 +46,16 @@
 			client, codec := platform.NewClient(settings.Store), translator.Peers{}
 			stop, _, release := signals(ctx)
 			defer release()
+			config, runners := platform.Config(client, log), platform.Servers(client, log)
+			if settings.Role == "endpoint" {
+				return caretaker.New(settings, caretaker.World{
+					Config: config, Runners: runners, Clock: timekeeper.Clock{},
+					Worker: func(address string) kingcupstile.Worker { return platform.NewEngine(address) },
+				}, log).Run(stop)
+			}
 			return gateway.New(settings, gateway.World{
-				Config:   platform.Config(client, log),
-				Runners:  platform.Servers(client, log),
+				Config:   config,
+				Runners:  runners,
 				Entries:  platform.Entries(client, codec, log),
 				Registry: platform.EntryRegistry(client, codec),
 				Dialect:  platform.Dialect{},
--- /dev/null
+++ b/coordination/conductor/state.go
@@ -0,0 +1,197 @@
+package conductor
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/kingcupstile/kingcupstile/coordination/leveler"
+	"github.com/kingcupstile/kingcupstile/state/rank"
+)
+
+// Phase is what a switch is waiting for.
+type Phase string
+
+// The phases of a switch.
+const (
+	PhaseIdle      Phase = "idle"
+	PhasePreparing Phase = "preparing"
+	PhaseHolding   Phase = "holding"
+	PhaseArming    Phase = "arming"
+	PhaseReleasing Phase = "releasing"
+	PhaseSettling  Phase = "settling"
+)
+
+const (
+	// lead is how many passes ahead the held step is, so that the ranks are armed before it comes.
+	lead = 2
+	// askEvery is how often ranks are asked while something is under way, and restEvery otherwise.
+	askEvery  = 40 * time.Millisecond
+	restEvery = time.Second
+	// countEvery is the time between two looks at the counts.
+	countEvery = 150 * time.Millisecond
+	// learnEvery is how often the process that leads asks which runners there are.
+	learnEvery = 5 * time.Second
+	// lostAfter is how long a call may be without an answer before the runner is asked again.
+	lostAfter = 400 * time.Millisecond
+	// giveUp is how long ranks may take to prepare a map: twelve copies of a tenth of a second, with orders carried out late.
+	giveUp = 6 * time.Second
+	// silentAfter is how long a step may be held before another process completes the switch, and silentEach what each
+	// further rank adds: an order that is carried out at once takes a few milliseconds.
+	silentAfter = 350 * time.Millisecond
+	silentEach  = 150 * time.Millisecond
+	// versionStep spreads versions, so that two starts of a process do not give the same one to different maps.
+	versionStep = 1000
+)
+
+// view is what is known of one runner.
+type view struct {
+	report rank.Report
+	known  bool
+	// heard is when the report came, asked when the last call was made that was not answered yet, 0 for none.
+	heard, asked time.Duration
+	// holdings are what the runner was last seen to hold, in the epoch of holding.
+	holdings rank.Holdings
+	holding  uint64
+	// begun is the version that the runner was last told to prepare, when it had begun a number of orders.
+	begun, ordered uint64
+	counts         rank.Counts
+}
+
+// State is what the process beside a rank knows and does.
+type State struct {
+	self    string
+	salt    uint64
+	runners []string
+	views   map[string]view
+	shape   Shape
+	learnt  time.Duration
+	counted time.Duration
+	phase   Phase
+	since   time.Duration
+	// epoch is the group's epoch for which layout and what follows hold.
+	epoch uint64
+	// layout is the map in use, nil while it is not known, and version the one that this process gave last.
+	layout  rank.Layout
+	version uint64
+	// replacing says that a map of this process's own is prepared for a step that was found held.
+	replacing bool
+	wanted    rank.Layout
+	step      uint64
+	plan      leveler.Plan
+	demand    leveler.Demand
+	window    []float64
+	// stuck is the step that the own rank was first seen to wait before, and when.
+	stuck      uint64
+	stuckSince time.Duration
+}
+
+// New returns the state of the process beside a runner; salt is to differ between starts of the process.
+func New(self string, salt uint64) State {
+	return State{self: self, salt: salt % versionStep, views: map[string]view{}, phase: PhaseIdle, learnt: -learnEvery}
+}
+
+// Phase returns what a switch is waiting for.
+func (s State) Phase() Phase { return s.phase }
+
+// Report returns the own rank's last report.
+func (s State) Report() (rank.Report, bool) {
+	v := s.views[s.self]
+	return v.report, v.known
+}
+
+// Layout returns the map in use as far as this process made it, nil if it is not known.
+func (s State) Layout() rank.Layout { return s.layout }
+
+// IsLeading reports whether this process leads its group: it is beside the first rank.
+func (s State) IsLeading() bool {
+	v := s.views[s.self]
+	return v.known && v.report.Group != "" && v.report.Open && v.report.Rank == 0
+}
+
+func (s State) withView(name string, v view) State {
+	s.views = maps.Clone(s.views)
+	s.views[name] = v
+	return s
+}
+
+// members returns the group's runners by rank, and false unless every rank is known in the present epoch.
+func (s State) members() ([]string, bool) {
+	own := s.views[s.self].report
+	list := make([]string, own.Size)
+	found := 0
+	for name, v := range s.views {
+		r := v.report
+		if v.known && r.Group == own.Group && r.Epoch == own.Epoch && r.Open && r.Rank < len(list) && list[r.Rank] == "" {
+			list[r.Rank] = name
+			found++
+		}
+	}
+	return list, found > 0 && found == len(list)
+}
+
+func (s State) enter(p Phase, now time.Duration) State {
+	s.phase, s.since = p, now
+	return s
+}
+
+// nextVersion returns a version above all that any rank has had and that no other start of a process would give.
+func (s State) nextVersion(members []string) uint64 {
+	highest := s.version
+	for _, m := range members {
+		r := s.views[m].report
+		highest = max(highest, r.Map, r.Prepared, r.Armed)
+	}
+	return (highest/versionStep+1)*versionStep + s.salt
+}
+
+// forgotten returns the state for a new epoch, of which nothing is known.
+func (s State) forgotten(epoch uint64, now time.Duration) State {
+	s.epoch, s.version, s.step, s.wanted, s.layout, s.replacing = epoch, 0, 0, nil, nil, false
+	return s.enter(PhaseIdle, now)
+}
+
+// inUse returns the map in use, put together from what all ranks hold, and nil unless all use the same version.
+func (s State) inUse(members []string) rank.Layout {
+	first := s.views[members[0]]
+	var layout rank.Layout
+	for r, m := range members {
+		v := s.views[m]
+		if v.holding != s.epoch || v.holdings.Map != first.holdings.Map || v.holdings.Map != v.report.Map {
+			return nil
+		}
+		if layout == nil {
+			layout = make(rank.Layout, len(v.holdings.InUse))
+			for i := range layout {
+				layout[i] = make([][]int, len(members))
+			}
+		}
+		if len(v.holdings.InUse) != len(layout) {
+			return nil
+		}
+		for i, experts := range v.holdings.InUse {
+			layout[i][r] = slices.Clone(experts)
+		}
+	}
+	return layout
+}
+
+// hasPrepared reports whether a runner was seen to hold its part of the wanted map.
+func (s State) hasPrepared(v view) bool {
+	return v.report.Prepared == s.version && v.holding == s.epoch && v.holdings.Prepared == s.version &&
+		matches(s.wanted, v.report.Rank, v.holdings.Copied)
+}
+
+// matches reports whether lists by set are what a rank holds of a layout.
+func matches(layout rank.Layout, r int, experts [][]int) bool {
+	if len(experts) != len(layout) {
+		return false
+	}
+	for i := range layout {
+		a, b := slices.Sorted(slices.Values(layout[i][r])), slices.Sorted(slices.Values(experts[i]))
+		if !slices.Equal(a, b) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/protocol/messenger/rank.go
@@ -0,0 +1,82 @@
+package messenger
+
+import (
+	"github.com/kingcupstile/kingcupstile/protocol/messenger/wire"
+	"github.com/kingcupstile/kingcupstile/state/rank"
+)
+
+// EncodeReport returns a rank's report as a message.
+func EncodeReport(r rank.Report) *wire.RankReport {
+	return &wire.RankReport{
+		Group: r.Group, Epoch: r.Epoch, Rank: int32(r.Rank), Size: int32(r.Size), Open: r.Open, Step: r.Step, Map: r.Map,
+		Prepared: r.Prepared, Armed: r.Armed, ArmedStep: r.ArmedStep, Held: r.Held, Orders: r.Orders, Pace: r.Pace,
+		Active: int32(r.Active), Queued: int32(r.Queued),
+	}
+}
+
+// DecodeReport returns the report that a message holds.
+func DecodeReport(m *wire.RankReport) rank.Report {
+	return rank.Report{
+		Group: m.GetGroup(), Epoch: m.GetEpoch(), Rank: int(m.GetRank()), Size: int(m.GetSize()), Open: m.GetOpen(),
+		Step: m.GetStep(), Map: m.GetMap(), Prepared: m.GetPrepared(), Armed: m.GetArmed(), ArmedStep: m.GetArmedStep(),
+		Held: m.GetHeld(), Orders: m.GetOrders(), Pace: m.GetPace(), Active: int(m.GetActive()), Queued: int(m.GetQueued()),
+	}
+}
+
+// EncodeOrder returns an order as a message.
+func EncodeOrder(o rank.Order) *wire.RankOrder {
+	m := &wire.RankOrder{Verb: string(o.Verb), Epoch: o.Epoch, Orders: o.Orders, Version: o.Version, Step: o.Step}
+	for _, set := range o.Map {
+		m.Sets = append(m.Sets, &wire.RankSet{Ranks: EncodeExperts(set)})
+	}
+	return m
+}
+
+// DecodeOrder returns the order that a message holds.
+func DecodeOrder(m *wire.RankOrder) rank.Order {
+	o := rank.Order{
+		Verb: rank.Verb(m.GetVerb()), Epoch: m.GetEpoch(), Orders: m.GetOrders(), Version: m.GetVersion(), Step: m.GetStep(),
+	}
+	for _, set := range m.GetSets() {
+		o.Map = append(o.Map, DecodeExperts(set.GetRanks()))
+	}
+	return o
+}
+
+// EncodeHoldings returns what a rank holds as a message.
+func EncodeHoldings(h rank.Holdings) *wire.RankHoldings {
+	return &wire.RankHoldings{
+		Map: h.Map, InUse: EncodeExperts(h.InUse), Prepared: h.Prepared, Copied: EncodeExperts(h.Copied),
+	}
+}
+
+// DecodeHoldings returns what the message of a rank says that it holds.
+func DecodeHoldings(m *wire.RankHoldings) rank.Holdings {
+	return rank.Holdings{
+		Map: m.GetMap(), InUse: DecodeExperts(m.GetInUse()), Prepared: m.GetPrepared(), Copied: DecodeExperts(m.GetCopied()),
+	}
+}
+
+// EncodeExperts returns lists of experts as messages.
+func EncodeExperts(lists [][]int) []*wire.RankExperts {
+	messages := make([]*wire.RankExperts, len(lists))
+	for i, list := range lists {
+		messages[i] = &wire.RankExperts{Experts: make([]uint32, len(list))}
+		for at, e := range list {
+			messages[i].Experts[at] = uint32(e)
+		}
+	}
+	return messages
+}
+
+// DecodeExperts returns the lists of experts that messages hold.
+func DecodeExperts(messages []*wire.RankExperts) [][]int {
+	lists := make([][]int, len(messages))
+	for i, m := range messages {
+		lists[i] = make([]int, len(m.GetExperts()))
+		for at, e := range m.GetExperts() {
+			lists[i][at] = int(e)
+		}
+	}
+	return lists
+}
--- /dev/null
+++ b/transport/ranker/client.go
@@ -0,0 +1,119 @@
+package ranker
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/kingcupstile/kingcupstile"
+	"github.com/kingcupstile/kingcupstile/protocol/messenger"
+	"github.com/kingcupstile/kingcupstile/protocol/messenger/wire"
+	"github.com/kingcupstile/kingcupstile/state/fault"
+	"github.com/kingcupstile/kingcupstile/state/rank"
+)
+
+const (
+	// dialTimeout bounds how long a connection to another process may take: a round trip is a few milliseconds.
+	dialTimeout = 200 * time.Millisecond
+	// besideTimeout bounds a call to the process beside a rank; the rest of a call's time is for the rank itself.
+	besideTimeout = 120 * time.Millisecond
+	// idleTime is how long a connection is kept between two looks.
+	idleTime = 10 * time.Second
+)
+
+// Client reaches a rank through the process beside it, and the rank itself when that process does not answer.
+type Client struct {
+	http   *http.Client
+	beside wire.Rank
+	direct kingcupstile.Worker
+}
+
+// New returns a client of the rank whose process is at an IP address and port.
+func New(address string, direct kingcupstile.Worker) *Client {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTime,
+		DisableCompression: true,
+	}}
+	return &Client{http: client, beside: wire.NewRankProtobufClient("http://"+address, client), direct: direct}
+}
+
+// Report returns what the rank says of itself.
+func (c *Client) Report(ctx context.Context) (rank.Report, error) {
+	call, cancel := context.WithTimeout(ctx, besideTimeout)
+	defer cancel()
+	m, err := c.beside.Report(call, &wire.RankRequest{})
+	if err == nil {
+		return messenger.DecodeReport(m), nil
+	}
+	if c.isSilent(err) {
+		return c.direct.Report(ctx)
+	}
+	return rank.Report{}, decoded("report", err)
+}
+
+// Counts returns how often the rank's requests chose each expert; they are asked for on the rank's own VM only.
+func (c *Client) Counts(ctx context.Context) (rank.Counts, error) {
+	m, err := c.beside.Counts(ctx, &wire.RankRequest{})
+	if err != nil {
+		c.isSilent(err)
+		return rank.Counts{}, decoded("count", err)
+	}
+	return rank.Counts{Epoch: m.GetEpoch(), Step: m.GetStep(), Counts: m.GetCounts()}, nil
+}
+
+// Holdings returns which experts the rank holds in the map in use and in the one that it has prepared.
+func (c *Client) Holdings(ctx context.Context) (rank.Holdings, error) {
+	call, cancel := context.WithTimeout(ctx, besideTimeout)
+	defer cancel()
+	m, err := c.beside.Holdings(call, &wire.RankRequest{})
+	if err == nil {
+		return messenger.DecodeHoldings(m), nil
+	}
+	if c.isSilent(err) {
+		return c.direct.Holdings(ctx)
+	}
+	return rank.Holdings{}, decoded("holdings", err)
+}
+
+// Give gives an order; one that both the process and the rank may have got is carried out once, as it names the
+// number of orders before it.
+func (c *Client) Give(ctx context.Context, o rank.Order) error {
+	call, cancel := context.WithTimeout(ctx, besideTimeout)
+	defer cancel()
+	_, err := c.beside.Give(call, messenger.EncodeOrder(o))
+	if err == nil {
+		return nil
+	}
+	if c.isSilent(err) {
+		return c.direct.Give(ctx, o)
+	}
+	return decoded("give order", err)
+}
+
+// isSilent reports whether the process beside the rank gave no answer of its own, and drops connections to it then.
+func (c *Client) isSilent(err error) bool {
+	var answered twirp.Error
+	if errors.As(err, &answered) && answered.Code() != twirp.Internal && answered.Code() != twirp.Unknown {
+		return false
+	}
+	c.http.CloseIdleConnections()
+	return true
+}
+
+// decoded returns the failure that another process told of.
+func decoded(op string, err error) error {
+	kind := kingcupstile.KindUnavailable
+	var answered twirp.Error
+	if errors.As(err, &answered) {
+		for k, code := range codes {
+			if code == answered.Code() {
+				kind = k
+			}
+		}
+	}
+	return fault.New(op, kind, err)
+}
