--- /dev/null
+++ b/coordination/conductor/conductor_test.go
@@ -0,0 +1,311 @@
+package conductor_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/kingcupstile/kingcupstile/coordination/conductor"
+	"github.com/kingcupstile/kingcupstile/coordination/leveler"
+	"github.com/kingcupstile/kingcupstile/standin/lockstep"
+	"github.com/kingcupstile/kingcupstile/state/rank"
+)
+
+const (
+	ranks   = 4
+	sets    = 2
+	experts = 12
+	pass    = 50 * time.Millisecond
+	// troubled is how long there is trouble, and calm how long the group then has to show that it goes on.
+	troubled = 20 * time.Second
+	calm     = 16 * time.Second
+)
+
+var shape = conductor.Shape{Sets: sets, Experts: experts, Bounds: leveler.Bounds{
+	Places: 4, Spare: 2, Copy: 50 * time.Millisecond, Lead: 100 * time.Millisecond, Horizon: 3 * time.Second, Weight: 0.9,
+}}
+
+// due is something that happens at a time.
+type due struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type agenda []due
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(due)) }
+func (a *agenda) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+// world runs the processes beside a group's ranks in simulated time.
+type world struct {
+	t        *testing.T
+	random   *rand.Rand
+	group    *lockstep.Group
+	now      time.Duration
+	agenda   agenda
+	order    int
+	states   []conductor.State
+	start    []int
+	frozen   []time.Duration
+	counts   [][]uint64
+	popular  []float64
+	late     float64
+	failed   error
+	switches int
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{
+		t: t, random: rand.New(rand.NewPCG(seed, 7)),
+		start: make([]int, ranks), frozen: make([]time.Duration, ranks),
+	}
+	clock := func() time.Duration { return w.now }
+	w.group = lockstep.New("g", leveler.First(sets, experts, ranks), clock, shape.Bounds.Copy)
+	for r := range ranks {
+		w.states = append(w.states, conductor.New(name(r), w.random.Uint64()))
+		w.counts = append(w.counts, make([]uint64, sets*experts))
+		w.every(20*time.Millisecond, func() { w.event(r, w.start[r], conductor.Tick{At: w.now}) })
+	}
+	w.shift()
+	w.every(3*time.Second, w.shift)
+	w.every(pass, w.pass)
+	return w
+}
+
+func name(r int) string { return fmt.Sprintf("10.0.0.%d:80", r+1) }
+
+func number(name string) int {
+	r := 0
+	_, _ = fmt.Sscanf(name, "10.0.0.%d:80", &r)
+	return r - 1
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.agenda, due{at: w.now + d, order: w.order, do: do})
+}
+
+func (w *world) every(d time.Duration, do func()) {
+	var again func()
+	again = func() {
+		do()
+		w.after(d, again)
+	}
+	w.after(d, again)
+}
+
+// shift makes other experts popular.
+func (w *world) shift() {
+	w.popular = make([]float64, sets*experts)
+	for i := range w.popular {
+		w.popular[i] = 10 * w.random.ExpFloat64() * w.random.ExpFloat64() * w.random.ExpFloat64()
+	}
+}
+
+func (w *world) pass() {
+	if w.failed == nil {
+		w.failed = w.group.Pass()
+	}
+	for r := range ranks {
+		for i, p := range w.popular {
+			w.counts[r][i] += uint64(100 * p)
+		}
+	}
+}
+
+// event hands an event to a process, unless it was restarted since, or later if it is frozen.
+func (w *world) event(r, start int, e conductor.Event) {
+	if w.start[r] != start {
+		return
+	}
+	if w.frozen[r] > w.now {
+		if _, tick := e.(conductor.Tick); !tick {
+			w.after(w.frozen[r]-w.now, func() { w.event(r, start, e) })
+		}
+		return
+	}
+	var effects []conductor.Effect
+	w.states[r], effects = conductor.Step(w.states[r], e)
+	for _, effect := range effects {
+		w.carry(r, effect)
+	}
+}
+
+func (w *world) delay() time.Duration {
+	return time.Duration(500+w.random.IntN(4000)) * time.Microsecond
+}
+
+// reply brings what a question gives to the process that asked, a little later.
+func (w *world) reply(r int, answer func() conductor.Event) {
+	start := w.start[r]
+	w.after(w.delay(), func() {
+		e := answer()
+		w.after(w.delay(), func() { w.event(r, start, e) })
+	})
+}
+
+func (w *world) carry(r int, effect conductor.Effect) {
+	switch e := effect.(type) {
+	case conductor.Learn:
+		w.reply(r, func() conductor.Event {
+			event := conductor.Ranked{Shape: shape}
+			for other := range ranks {
+				event.Runners = append(event.Runners, name(other))
+			}
+			return event
+		})
+	case conductor.Ask:
+		w.reply(r, func() conductor.Event { return w.report(e.Runner) })
+	case conductor.Verify:
+		w.reply(r, func() conductor.Event {
+			return conductor.Verified{Runner: e.Runner, Holdings: w.group.Holdings(number(e.Runner)), At: w.now}
+		})
+	case conductor.Count:
+		w.reply(r, func() conductor.Event {
+			to := number(e.Runner)
+			return conductor.Counted{
+				Runner: e.Runner, At: w.now,
+				Counts: rank.Counts{Epoch: w.group.Report(to).Epoch, Step: w.group.Step(), Counts: append([]uint64(nil), w.counts[to]...)},
+			}
+		})
+	case conductor.Give:
+		w.give(r, e)
+	case conductor.Noted:
+		if e.What == "switch released" {
+			w.switches++
+		}
+	}
+}
+
+func (w *world) report(name string) conductor.Event {
+	return conductor.Reported{Runner: name, Report: w.group.Report(number(name)), At: w.now}
+}
+
+// give carries an order out soon, or seconds later without an answer, and sometimes twice.
+func (w *world) give(r int, e conductor.Give) {
+	to := number(e.Runner)
+	carry := func() { _ = w.group.Give(to, e.Order) }
+	if w.random.Float64() < w.late {
+		w.after(time.Duration(1+w.random.IntN(12000))*time.Millisecond, carry)
+		start := w.start[r]
+		w.after(200*time.Millisecond, func() { w.event(r, start, w.report(e.Runner)) })
+		return
+	}
+	if w.random.Float64() < w.late/4 {
+		w.after(time.Duration(w.random.IntN(9000))*time.Millisecond, carry)
+	}
+	w.reply(r, func() conductor.Event {
+		carry()
+		return w.report(e.Runner)
+	})
+}
+
+// trouble lets one thing go wrong.
+func (w *world) trouble() {
+	r := w.random.IntN(ranks)
+	if w.random.IntN(2) == 0 {
+		r = 0
+	}
+	switch w.random.IntN(5) {
+	case 0, 1:
+		w.start[r]++
+		w.states[r] = conductor.New(name(r), w.random.Uint64())
+		w.frozen[r] = w.now + time.Duration(w.random.IntN(1500))*time.Millisecond
+	case 2:
+		w.frozen[r] = w.now + time.Duration(w.random.IntN(4000))*time.Millisecond
+	case 3:
+		if w.random.IntN(3) == 0 {
+			w.group.Break()
+			w.after(time.Duration(500+w.random.IntN(3000))*time.Millisecond, w.group.Form)
+		}
+	case 4:
+		for other := range ranks {
+			w.start[other]++
+			w.states[other] = conductor.New(name(other), w.random.Uint64())
+		}
+	}
+}
+
+func (w *world) run(until time.Duration) {
+	for w.failed == nil && len(w.agenda) > 0 && w.agenda[0].at <= until {
+		next := heap.Pop(&w.agenda).(due)
+		w.now = next.at
+		next.do()
+	}
+}
+
+// TestOneMapInEveryPass plays groups whose orders come late and whose processes freeze and start anew: no pass begins
+// with two maps, and no group waits for ever.
+func TestOneMapInEveryPass(t *testing.T) {
+	const seeds, shards = 1000, 8
+	for shard := range uint64(shards) {
+		t.Run(fmt.Sprint("shard ", shard), func(t *testing.T) {
+			t.Parallel()
+			switches := 0
+			for seed := shard; seed < seeds; seed += shards {
+				switches += play(t, seed)
+			}
+			if switches < 10*seeds/shards {
+				t.Errorf("%d switches", switches)
+			}
+		})
+	}
+}
+
+// play plays one seed and returns how many switches there were.
+func play(t *testing.T, seed uint64) int {
+	t.Helper()
+	w := newWorld(t, seed)
+	w.late = 0.4 * w.random.Float64()
+	for at := time.Duration(0); at < troubled; at += time.Duration(w.random.IntN(1200)) * time.Millisecond {
+		w.after(at, w.trouble)
+	}
+	w.run(troubled)
+	w.late = 0
+	w.run(troubled + calm)
+	if w.failed != nil {
+		t.Fatalf("seed %d: %v", seed, w.failed)
+	}
+	step := w.group.Step()
+	w.run(troubled + calm + time.Second)
+	if w.failed != nil || w.group.Step() < step+10 {
+		t.Fatalf("seed %d: the group stands at pass %d of epoch %d: %+v", seed, w.group.Step(), w.group.Report(0).Epoch, w.reports())
+	}
+	return w.switches
+}
+
+func (w *world) reports() []rank.Report {
+	var list []rank.Report
+	for r := range ranks {
+		list = append(list, w.group.Report(r))
+	}
+	return list
+}
+
+// TestQuietGroupIsLevelled plays a group without trouble: demand is followed and hardly a pass waits.
+func TestQuietGroupIsLevelled(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(30 * time.Second)
+	if w.failed != nil {
+		t.Fatal(w.failed)
+	}
+	if w.switches < 10 {
+		t.Errorf("%d switches", w.switches)
+	}
+	if passes := uint64(30 * time.Second / pass); w.group.Step() < passes*98/100 {
+		t.Errorf("%d of %d passes", w.group.Step(), passes)
+	}
+}
--- /dev/null
+++ b/transport/gateway/gateway_test.go
@@ -0,0 +1,458 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kingcupstile/kingcupstile/platform"
+	"github.com/kingcupstile/kingcupstile/protocol/parser"
+	"github.com/kingcupstile/kingcupstile/protocol/translator"
+	"github.com/kingcupstile/kingcupstile/standin/site"
+	"github.com/kingcupstile/kingcupstile/transport/gateway"
+	"github.com/kingcupstile/kingcupstile/transport/timekeeper"
+)
+
+const (
+	key = "key-1"
+	// trust is how old the knowledge of keys may be in these tests: 0.6 of the time to revoke.
+	revoke = 2 * time.Second
+)
+
+// deployment is an entry before runners, with the platform's stand-in.
+type deployment struct {
+	t        *testing.T
+	store    *site.Store
+	runners  map[string]*site.Runner
+	settings parser.Place
+	stop     context.CancelFunc
+	ended    chan error
+	version  int
+}
+
+// free returns an address on loopback that nobody listens on.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.LocalAddr().(*net.UDPAddr).Port
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: site.NewStore(), runners: map[string]*site.Runner{}, ended: make(chan error, 1)}
+	server := httptest.NewServer(d.store)
+	t.Cleanup(server.Close)
+	d.configure(key)
+	for _, name := range []string{"a", "b"} {
+		d.add("pool-"+name, "pool")
+		d.add("desk-"+name, "desk")
+	}
+	d.settings = parser.Place{
+		Role: "entry", Name: "entry-1", Centre: "z", Region: "r", IP: "127.0.0.1", Store: server.Listener.Addr().String(),
+		Callers: free(t), Ready: free(t), Lookup: free(t), Internal: []int{freePort(t)},
+		Grace: 2 * time.Second, Revoke: revoke, Retries: 0.2, Slack: 90,
+	}
+	d.start()
+	return d
+}
+
+func (d *deployment) start() {
+	log := slog.New(slog.DiscardHandler)
+	client, codec := platform.NewClient(d.settings.Store), translator.Peers{}
+	var stop context.Context
+	stop, d.stop = context.WithCancel(context.Background())
+	g := gateway.New(d.settings, gateway.World{
+		Config: platform.Config(client, log), Runners: platform.Servers(client, log), Entries: platform.Entries(client, codec, log),
+		Registry: platform.EntryRegistry(client, codec), Dialect: platform.Dialect{}, Clock: timekeeper.Clock{},
+		Lookup: platform.Lookup(time.Second), Ready: platform.Ready,
+	}, log)
+	go func() { d.ended <- g.Run(stop) }()
+	d.t.Cleanup(func() {
+		d.stop()
+		<-d.ended
+	})
+	d.await("ready", func() bool { return d.status("http://"+d.settings.Ready+"/kingcupstile/readyz") == http.StatusOK })
+}
+
+// add starts a runner and registers it.
+func (d *deployment) add(id, service string) {
+	r := site.NewRunner(id)
+	server := httptest.NewServer(r)
+	d.t.Cleanup(server.Close)
+	d.runners[id] = r
+	d.register(id, service, server.Listener.Addr().String(), "ready")
+}
+
+func (d *deployment) register(id, service, address, state string) {
+	d.store.Put("servers", id, map[string]any{"service": service, "addr": address, "zone": "z", "slots": 4, "state": state})
+}
+
+// configure writes a configuration whose account has the given keys.
+func (d *deployment) configure(keys ...string) {
+	d.version += 3
+	route := func(name, prefix, kind, service string, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "h.example", "pathPrefix": prefix, "type": kind, "timeoutMs": 1500, "goalMs": 200, "priority": 1,
+			"service": service, "attempts": 2, "resumable": resumable, "gapTargetMs": 120,
+		}
+	}
+	d.store.Put("config", "main", map[string]any{
+		"version": d.version,
+		"routes": []any{
+			route("draft", "/draft/", "streaming", "pool", true), route("once", "/draft/once/", "streaming", "pool", false),
+			route("file", "/file/", "unsafe", "desk", false), route("look", "/look/", "safe", "desk", false),
+		},
+		"services": []any{
+			map[string]any{"name": "pool", "maxConns": 100, "engine": map[string]any{"slots": 4, "stride": 4, "step_ms": 1}},
+			map[string]any{"name": "desk", "maxConns": 100},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1024, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{"name": "account-1", "apiKeys": keys, "priority": 2}},
+	})
+}
+
+func (d *deployment) await(what string, done func() bool) {
+	d.t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !done(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			d.t.Fatalf("never %s", what)
+		}
+	}
+}
+
+func (d *deployment) status(url string) int {
+	r, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = r.Body.Close() }()
+	return r.StatusCode
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+var requests int
+
+// call sends one request on a connection of its own.
+func (d *deployment) call(method, path, with string, header map[string]string) answer {
+	d.t.Helper()
+	r, err := http.NewRequest(method, "http://"+d.settings.Callers+path, strings.NewReader(with))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	requests++
+	r.Host, r.Close = "h.example", true
+	r.Header.Set("X-Request-Id", fmt.Sprint("request-", requests))
+	r.Header.Set("X-Deadline-Ms", "1200")
+	r.Header.Set("Authorization", "Token "+key)
+	r.Header.Set("X-Tenant", "somebody-else")
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = a.Body.Close() }()
+	text, err := io.ReadAll(a.Body)
+	return answer{status: a.StatusCode, header: a.Header, body: string(text), err: err}
+}
+
+// runs returns how many requests ran at the runners of a service.
+func (d *deployment) runs(service string) int {
+	n := 0
+	for id, r := range d.runners {
+		if strings.HasPrefix(id, service) {
+			n += len(r.Runs())
+		}
+	}
+	return n
+}
+
+func (d *deployment) failAll(service string, f site.Fault) {
+	for id, r := range d.runners {
+		if strings.HasPrefix(id, service) {
+			r.Fail(f)
+		}
+	}
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+func TestWholeAnswers(t *testing.T) {
+	d := newDeployment(t)
+	a := d.call(http.MethodPost, "/file/x%2Fy?q=1&q=2", "the slip", map[string]string{"X-Other": "kept", "Connection": "X-Gone", "X-Gone": "1"})
+	if a.status != http.StatusOK || !strings.HasPrefix(a.body, "answer of desk-") || !strings.HasPrefix(a.header.Get("X-Server-Seal"), "seal-of-desk-") {
+		t.Fatalf("got %+v", a)
+	}
+	var run site.Run
+	for _, r := range d.runners {
+		if got := r.Runs(); len(got) > 0 {
+			run = got[0]
+		}
+	}
+	if run.Target != "/file/x%2Fy?q=1&q=2" || run.Body != "the slip" || run.Method != http.MethodPost {
+		t.Errorf("the runner got %+v", run)
+	}
+	for name, want := range map[string]string{"Authorization": "", "X-Tenant": "account-1", "X-Other": "kept", "X-Gone": ""} {
+		if got := run.Header.Get(name); got != want {
+			t.Errorf("%s is %q, want %q", name, got, want)
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	d := newDeployment(t)
+	for name, test := range map[string]struct {
+		path, body string
+		header     map[string]string
+		want       int
+	}{
+		"no route":      {path: "/other/", want: http.StatusNotFound},
+		"unknown key":   {path: "/look/", header: map[string]string{"Authorization": "Token nobody"}, want: http.StatusUnauthorized},
+		"other scheme":  {path: "/look/", header: map[string]string{"Authorization": "Bearer " + key}, want: http.StatusUnauthorized},
+		"body too long": {path: "/file/", body: strings.Repeat("x", 1025), want: http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if a := d.call(http.MethodPost, test.path, test.body, test.header); a.status != test.want {
+				t.Errorf("got %+v", a)
+			}
+		})
+	}
+	if n := d.runs("desk"); n != 0 {
+		t.Errorf("%d requests ran", n)
+	}
+}
+
+func TestRunnerFaults(t *testing.T) {
+	for name, test := range map[string]struct {
+		fault  site.Fault
+		path   string
+		status int
+		runs   int
+	}{
+		"refused everywhere":       {site.FaultShed, "/file/", http.StatusServiceUnavailable, 0},
+		"unsafe cut":               {site.FaultCut, "/file/", http.StatusBadGateway, 1},
+		"unsafe mute":              {site.FaultMute, "/file/", http.StatusGatewayTimeout, 1},
+		"unsafe foreign":           {site.FaultForeign, "/file/", http.StatusBadGateway, 1},
+		"unsafe unsealed":          {site.FaultUnsealed, "/file/", http.StatusBadGateway, 1},
+		"unsafe error":             {site.FaultError, "/file/", http.StatusInternalServerError, 1},
+		"unsafe without a length":  {site.FaultUnframed, "/file/", http.StatusOK, 1},
+		"safe cut everywhere":      {site.FaultCut, "/look/", http.StatusBadGateway, 2},
+		"safe error everywhere":    {site.FaultError, "/look/", http.StatusInternalServerError, 2},
+		"safe mute everywhere":     {site.FaultMute, "/look/", http.StatusBadGateway, 2},
+		"stream refused":           {site.FaultShed, "/draft/", http.StatusServiceUnavailable, 0},
+		"stream mute, not resumed": {site.FaultMute, "/draft/once/", http.StatusGatewayTimeout, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			service := "desk"
+			if strings.HasPrefix(test.path, "/draft/") {
+				service = "pool"
+			}
+			d.failAll(service, test.fault)
+			a := d.call(http.MethodPost, test.path, "", nil)
+			if a.status != test.status || d.runs(service) != test.runs {
+				t.Errorf("got %+v after %d runs", a, d.runs(service))
+			}
+			if promised := a.status == http.StatusServiceUnavailable; promised != (a.header.Get("Retry-After") != "") {
+				t.Errorf("headers %v", a.header)
+			}
+		})
+	}
+}
+
+func TestSafeRequestGoesToAnotherRunner(t *testing.T) {
+	for _, fault := range []site.Fault{site.FaultShed, site.FaultMute, site.FaultCut, site.FaultError, site.FaultForeign} {
+		t.Run(string(fault), func(t *testing.T) {
+			d := newDeployment(t)
+			d.runners["desk-a"].Fail(fault)
+			for range 6 {
+				if a := d.call(http.MethodGet, "/look/", "", nil); a.status != http.StatusOK || a.body != "answer of desk-b\n" {
+					t.Errorf("got %+v", a)
+				}
+			}
+		})
+	}
+}
+
+func TestStreamIsResumedElsewhere(t *testing.T) {
+	d := newDeployment(t)
+	d.runners["pool-a"].Fail(site.FaultCut)
+	for range 6 {
+		a := d.call(http.MethodPost, "/draft/x", "", nil)
+		if a.err != nil || a.body != events(1, 5) {
+			t.Errorf("got %+v", a)
+		}
+	}
+	if len(d.runners["pool-a"].Runs()) == 0 {
+		t.Error("the failing runner got nothing")
+	}
+}
+
+func TestCutStreamIsNotTakenForWhole(t *testing.T) {
+	d := newDeployment(t)
+	d.failAll("pool", site.FaultCut)
+	if a := d.call(http.MethodPost, "/draft/once/x", "", nil); a.err == nil || a.body != events(1, 2) {
+		t.Errorf("got %+v", a)
+	}
+	if a := d.call(http.MethodPost, "/draft/x", "", map[string]string{"Last-Event-Id": "3"}); a.body != events(4, 5) {
+		t.Errorf("resumed by the caller: %+v", a)
+	}
+}
+
+func TestCallerLeaves(t *testing.T) {
+	d := newDeployment(t)
+	d.failAll("desk", site.FaultMute)
+	connection, err := net.Dial("tcp", d.settings.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = fmt.Fprintf(connection, "GET /look/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r\r\nAuthorization: Token %s\r\n\r\n", key)
+	d.await("run", func() bool { return d.runs("desk") > 0 })
+	_ = connection.Close()
+	left := time.Now()
+	d.await("left", func() bool { return d.runners["desk-a"].Left()+d.runners["desk-b"].Left() > 0 })
+	if took := time.Since(left); took > 500*time.Millisecond {
+		t.Errorf("the runner worked on for %v", took)
+	}
+}
+
+func TestConfigurationChanges(t *testing.T) {
+	d := newDeployment(t)
+	d.configure("key-2")
+	d.await("refused", func() bool { return d.call(http.MethodGet, "/look/", "", nil).status == http.StatusUnauthorized })
+	d.store.Compact()
+	d.configure(key)
+	d.await("allowed", func() bool { return d.call(http.MethodGet, "/look/", "", nil).status == http.StatusOK })
+	old := d.version - 3
+	d.store.Put("config", "main", map[string]any{"version": old, "routes": []any{}})
+	time.Sleep(200 * time.Millisecond)
+	if a := d.call(http.MethodGet, "/look/", "", nil); a.status != http.StatusOK {
+		t.Errorf("an older version is in force: %+v", a)
+	}
+}
+
+func TestStoreAway(t *testing.T) {
+	for name, away := range map[string]func(*site.Store, bool){
+		"silent": func(s *site.Store, yes bool) { s.Silence(yes) },
+		"busy": func(s *site.Store, yes bool) {
+			status := 0
+			if yes {
+				status = http.StatusServiceUnavailable
+			}
+			s.Refuse(status)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			away(d.store, true)
+			began := time.Now()
+			var a answer
+			d.await("refused", func() bool {
+				a = d.call(http.MethodGet, "/look/", "", nil)
+				return a.status != http.StatusOK
+			})
+			if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || time.Since(began) > revoke {
+				t.Errorf("got %+v after %v", a, time.Since(began))
+			}
+			if a := d.call(http.MethodGet, "/other/", "", nil); a.status != http.StatusServiceUnavailable {
+				t.Errorf("without a route: %+v", a)
+			}
+			if s := d.status("http://" + d.settings.Ready + "/kingcupstile/readyz"); s != http.StatusServiceUnavailable {
+				t.Errorf("ready: %d", s)
+			}
+			away(d.store, false)
+			d.await("served", func() bool { return d.call(http.MethodGet, "/look/", "", nil).status == http.StatusOK })
+		})
+	}
+}
+
+func TestRunnersComeAndGo(t *testing.T) {
+	d := newDeployment(t)
+	d.store.PutRaw("servers", "strange-1", json.RawMessage(`{"service":7}`))
+	d.store.PutRaw("servers", "strange-2", json.RawMessage(`{"service":"desk","addr":"127.0.0.1:1","state":"odd"}`))
+	d.store.PutRaw("servers", "strange-3", json.RawMessage(`"\u0000"`))
+	d.register("desk-a", "desk", "127.0.0.1:1", "draining")
+	d.await("left alone", func() bool {
+		return d.call(http.MethodGet, "/look/", "", nil).body == "answer of desk-b\n" && len(d.runners["desk-a"].Runs()) < 100
+	})
+	before := len(d.runners["desk-a"].Runs())
+	for range 10 {
+		if a := d.call(http.MethodPost, "/file/", "", nil); a.body != "answer of desk-b\n" {
+			t.Errorf("got %+v", a)
+		}
+	}
+	if n := len(d.runners["desk-a"].Runs()); n != before {
+		t.Errorf("a leaving runner got %d requests", n-before)
+	}
+	d.store.Remove("servers", "desk-b")
+	d.await("refused", func() bool { return d.call(http.MethodGet, "/look/", "", nil).status == http.StatusServiceUnavailable })
+}
+
+func TestLookup(t *testing.T) {
+	d := newDeployment(t)
+	d.await("listed", func() bool {
+		r, err := http.Get("http://" + d.settings.Lookup + "/kingcupstile/lookup?name=h.example&zone=z&region=r")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = r.Body.Close() }()
+		line, _ := bufio.NewReader(r.Body).ReadString('\n')
+		return line == fmt.Sprintf(`{"addrs":[%q],"ttlS":1}`, d.settings.Callers)
+	})
+	d.await("registered", func() bool { return len(d.store.Names("kingcup-entries")) == 1 })
+}
+
+func TestLeavingCutsNothing(t *testing.T) {
+	d := newDeployment(t)
+	for _, r := range d.runners {
+		r.Events, r.Pause = 30, 20*time.Millisecond
+	}
+	got := make(chan answer, 1)
+	go func() { got <- d.call(http.MethodPost, "/draft/x", "", nil) }()
+	d.await("run", func() bool { return d.runs("pool") > 0 })
+	d.stop()
+	if a := <-got; a.err != nil || a.body != events(1, 30) {
+		t.Errorf("got %+v", a)
+	}
+	if err := <-d.ended; err != nil {
+		t.Error(err)
+	}
+	d.ended <- nil
+}
