--- a/coordination/conductor/conductor_test.go
+++ b/coordination/conductor/conductor_test.go
@@ -68,6 +68,7 @@
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
+	t.Helper()
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)),
 		start: make([]int, ranks), frozen: make([]time.Duration, ranks),
@@ -288,7 +289,7 @@
 }
 
 func (w *world) reports() []rank.Report {
-	var list []rank.Report
+	list := make([]rank.Report, 0, ranks)
 	for r := range ranks {
 		list = append(list, w.group.Report(r))
 	}
--- a/standin/lockstep/group.go
+++ b/standin/lockstep/group.go
@@ -118,37 +118,43 @@
 	if o.Orders != m.orders {
 		return conflict("another order began")
 	}
+	if o.Verb == rank.VerbRelease && m.held != o.Step {
+		return nil
+	}
+	if !g.fits(m, o) {
+		return conflict("the rank's state")
+	}
 	switch o.Verb {
 	case rank.VerbPrepare:
-		if o.Version <= m.highest || m.armed != 0 {
-			return conflict("version or armed")
-		}
 		m.highest, m.prepared, m.copied = o.Version, held{version: o.Version, layout: o.Map}, g.now()+g.copying(r, o.Map)
 	case rank.VerbArm:
-		if m.prepared.version != o.Version || g.now() < m.copied || o.Step <= g.step || m.armed != 0 {
-			return conflict("not prepared, armed or begun")
-		}
 		m.armed, m.at = o.Version, o.Step
 	case rank.VerbDisarm:
-		if m.armed != o.Version || o.Version == 0 {
-			return conflict("not armed")
-		}
 		m.armed = 0
 	case rank.VerbHold:
-		if o.Step <= g.step || m.held != 0 {
-			return conflict("begun or held")
-		}
 		m.held = o.Step
 	case rank.VerbRelease:
-		if m.held != o.Step {
-			return nil
-		}
 		m.held = 0
 	}
 	m.orders++
 	return nil
 }
 
+// fits reports whether an order fits a rank's state.
+func (g *Group) fits(m *member, o rank.Order) bool {
+	switch o.Verb {
+	case rank.VerbPrepare:
+		return o.Version > m.highest && m.armed == 0
+	case rank.VerbArm:
+		return m.prepared.version == o.Version && g.now() >= m.copied && o.Step > g.step && m.armed == 0
+	case rank.VerbDisarm:
+		return m.armed == o.Version && o.Version != 0
+	case rank.VerbHold:
+		return o.Step > g.step && m.held == 0
+	}
+	return true
+}
+
 // copying returns how long a rank copies what a layout gives it anew.
 func (g *Group) copying(r int, layout rank.Layout) time.Duration {
 	fresh := 0
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -129,7 +129,7 @@
 func (s *Store) Names(kind string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var names []string
+	names := make([]string, 0, len(s.kinds[kind]))
 	for name := range s.kinds[kind] {
 		names = append(names, name)
 	}
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -92,7 +92,9 @@
 	go func() { d.ended <- g.Run(stop) }()
 	d.t.Cleanup(func() {
 		d.stop()
-		<-d.ended
+		if err := <-d.ended; err != nil {
+			d.t.Error(err)
+		}
 	})
 	d.await("ready", func() bool { return d.status("http://"+d.settings.Ready+"/kingcupstile/readyz") == http.StatusOK })
 }
@@ -216,8 +218,10 @@
 
 func TestWholeAnswers(t *testing.T) {
 	d := newDeployment(t)
-	a := d.call(http.MethodPost, "/file/x%2Fy?q=1&q=2", "the slip", map[string]string{"X-Other": "kept", "Connection": "X-Gone", "X-Gone": "1"})
-	if a.status != http.StatusOK || !strings.HasPrefix(a.body, "answer of desk-") || !strings.HasPrefix(a.header.Get("X-Server-Seal"), "seal-of-desk-") {
+	extra := map[string]string{"X-Other": "kept", "Connection": "X-Gone", "X-Gone": "1"}
+	a := d.call(http.MethodPost, "/file/x%2Fy?q=1&q=2", "the slip", extra)
+	seal := a.header.Get("X-Server-Seal")
+	if a.status != http.StatusOK || !strings.HasPrefix(a.body, "answer of desk-") || !strings.HasPrefix(seal, "seal-of-desk-") {
 		t.Fatalf("got %+v", a)
 	}
 	var run site.Run
