conductor: See to orders beside the ranks, and learn from relays how new the configuration is

Change: the process beside a rank waits until the map is copied and says whether it holds it as ordered (executor), maps go as changes of the one before; two entries ask the store at short intervals and the others learn the age from their heartbeats, counted from their own question; more than 12 entries compare three runners drawn at random; a request that waits at a runner that answers others is left there.

--- a/coordination/conductor/advance.go
+++ b/coordination/conductor/advance.go
@@ -80,20 +80,8 @@
 	var effects []Effect
 	done := true
 	for _, m := range members {
-		v := s.views[m]
-		if s.hasPrepared(v) {
-			continue
-		}
-		done = false
-		switch {
-		case v.asked > 0:
-		case v.report.Prepared == s.version:
-			v.asked = now
-			s = s.withView(m, v)
-			effects = append(effects, Verify{Runner: m})
-		case v.begun != s.version || v.report.Orders == v.ordered:
-			v.begun, v.ordered = s.version, v.report.Orders
-			s = s.withView(m, v)
+		if !s.hasPrepared(s.views[m]) {
+			done = false
 			s, effects = s.give(m, rank.VerbPrepare, now, effects)
 		}
 	}
--- a/coordination/conductor/event.go
+++ b/coordination/conductor/event.go
@@ -25,10 +25,11 @@
 	Bounds        leveler.Bounds
 }
 
-// Reported brings a runner's report.
+// Reported brings a runner's report, and the version that it was seen to hold as ordered, 0 for none.
 type Reported struct {
 	Runner string
 	Report rank.Report
+	Whole  uint64
 	At     time.Duration
 }
 
@@ -68,7 +69,7 @@
 // Ask asks a runner for its report; the answer is Reported or Missed.
 type Ask struct{ Runner string }
 
-// Give gives a runner an order and asks for its report after that; the answer is Reported or Missed.
+// Give gives a runner an order and sees to it; the answer is Reported, for a map once it is copied, or Missed.
 type Give struct {
 	Runner string
 	Order  rank.Order
--- a/coordination/conductor/state.go
+++ b/coordination/conductor/state.go
@@ -32,8 +32,10 @@
 	countEvery = 150 * time.Millisecond
 	// learnEvery is how often the process that leads asks which runners there are.
 	learnEvery = 5 * time.Second
-	// lostAfter is how long a call may be without an answer before the runner is asked again.
+	// lostAfter is how long a call may be without an answer before the runner is asked again, copyLost the same while it
+	// copies a map.
 	lostAfter = 400 * time.Millisecond
+	copyLost  = 3 * time.Second
 	// giveUp is how long ranks may take to prepare a map: twelve copies of a tenth of a second, with orders carried out late.
 	giveUp = 6 * time.Second
 	// silentAfter is how long a step may be held before another process completes the switch, and silentEach what each
@@ -48,14 +50,14 @@
 type view struct {
 	report rank.Report
 	known  bool
-	// heard is when the report came, asked when the last call was made that was not answered yet, 0 for none.
-	heard, asked time.Duration
+	// heard is when the report came, and busy until when the answer of a call under way is waited for, 0 for none.
+	heard, busy time.Duration
 	// holdings are what the runner was last seen to hold, in the epoch of holding.
 	holdings rank.Holdings
 	holding  uint64
-	// begun is the version that the runner was last told to prepare, when it had begun a number of orders.
-	begun, ordered uint64
-	counts         rank.Counts
+	// whole is the version that the runner was seen to hold as ordered.
+	whole  uint64
+	counts rank.Counts
 }
 
 // State is what the process beside a rank knows and does.
@@ -170,7 +172,7 @@
 			return nil
 		}
 		for i, experts := range v.holdings.InUse {
-			layout[i][r] = slices.Clone(experts)
+			layout[i][r] = slices.Sorted(slices.Values(experts))
 		}
 	}
 	return layout
@@ -178,20 +180,5 @@
 
 // hasPrepared reports whether a runner was seen to hold its part of the wanted map.
 func (s State) hasPrepared(v view) bool {
-	return v.report.Prepared == s.version && v.holding == s.epoch && v.holdings.Prepared == s.version &&
-		matches(s.wanted, v.report.Rank, v.holdings.Copied)
-}
-
-// matches reports whether lists by set are what a rank holds of a layout.
-func matches(layout rank.Layout, r int, experts [][]int) bool {
-	if len(experts) != len(layout) {
-		return false
-	}
-	for i := range layout {
-		a, b := slices.Sorted(slices.Values(layout[i][r])), slices.Sorted(slices.Values(experts[i]))
-		if !slices.Equal(a, b) {
-			return false
-		}
-	}
-	return true
+	return v.report.Prepared == s.version && v.whole == s.version && v.report.Epoch == s.epoch
 }
--- a/coordination/conductor/step.go
+++ b/coordination/conductor/step.go
@@ -19,7 +19,7 @@
 		return s.reported(e)
 	case Missed:
 		v := s.views[e.Runner]
-		v.asked = 0
+		v.busy = 0
 		return s.withView(e.Runner, v), nil
 	case Verified:
 		return s.verified(e)
@@ -47,18 +47,21 @@
 // reported takes in a report that is not older than the one before.
 func (s State) reported(e Reported) (State, []Effect) {
 	v := s.views[e.Runner]
-	v.asked = 0
+	v.busy = 0
 	if v.known && isOlder(e.Report, v.report) {
 		return s.withView(e.Runner, v), nil
 	}
-	v.report, v.known, v.heard = e.Report, true, e.At
+	if v.report.Epoch != e.Report.Epoch {
+		v.whole = 0
+	}
+	v.report, v.known, v.heard, v.whole = e.Report, true, e.At, max(v.whole, e.Whole)
 	s = s.withView(e.Runner, v)
 	return s.advance(e.At)
 }
 
 func (s State) verified(e Verified) (State, []Effect) {
 	v := s.views[e.Runner]
-	v.asked, v.holdings, v.holding = 0, e.Holdings, v.report.Epoch
+	v.busy, v.holdings, v.holding = 0, e.Holdings, v.report.Epoch
 	return s.withView(e.Runner, v).advance(e.At)
 }
 
@@ -142,8 +145,8 @@
 	}
 	for _, m := range members {
 		v := s.views[m]
-		if v.asked == 0 && (v.holding != s.epoch || v.holdings.Map != v.report.Map) {
-			v.asked = now
+		if now >= v.busy && (v.holding != s.epoch || v.holdings.Map != v.report.Map) {
+			v.busy = now + lostAfter
 			s = s.withView(m, v)
 			effects = append(effects, Verify{Runner: m})
 		}
@@ -157,10 +160,10 @@
 	if name == s.self {
 		every = min(every, 2*askEvery)
 	}
-	if v.asked > 0 && now-v.asked < lostAfter || v.asked == 0 && v.known && now-v.heard < every {
+	if now < v.busy || v.known && now-v.heard < every {
 		return s, effects
 	}
-	v.asked = now
+	v.busy = now + lostAfter
 	return s.withView(name, v), append(effects, Ask{Runner: name})
 }
 
@@ -283,9 +286,12 @@
 // give gives an order to a runner unless a call to it is under way.
 func (s State) give(name string, verb rank.Verb, now time.Duration, effects []Effect) (State, []Effect) {
 	v := s.views[name]
-	if v.asked > 0 && now-v.asked < lostAfter {
+	if now < v.busy {
 		return s, effects
 	}
-	v.asked = now
+	v.busy = now + lostAfter
+	if verb == rank.VerbPrepare {
+		v.busy = now + copyLost
+	}
 	return s.withView(name, v), append(effects, Give{Runner: name, Order: s.order(verb, v.report)})
 }
--- a/coordination/follower/follower.go
+++ b/coordination/follower/follower.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 	"github.com/kingcupstile/kingcupstile/state/listing"
@@ -14,6 +16,10 @@
 const (
 	// DefaultWait is how long a watch waits: news counts from when it was asked for, so that it is never older than two waits.
 	DefaultWait = 900 * time.Millisecond
+	// nudgedWait is how long a watch waits after a nudge: its answer is wanted at once.
+	nudgedWait = 10 * time.Millisecond
+	// gather is how long changes are gathered before the next watch, as each watch costs a call.
+	gather = 300 * time.Millisecond
 	// slack is how much later than its wait the answer of a watch may come: a hundred times the store's usual time.
 	slack = 400 * time.Millisecond
 	// listTimeout bounds a listing, which may take several pages.
@@ -38,24 +44,35 @@
 	feed  kingcupstile.Feed[T]
 	clock kingcupstile.Clock
 	sink  Sink[T]
-	wait  time.Duration
+	wait  func() time.Duration
+	nudge chan struct{}
 }
 
 // Option sets a field of a Follower under construction.
 type Option[T any] func(*Follower[T])
 
-// Wait sets how long a watch waits.
-func Wait[T any](d time.Duration) Option[T] { return func(f *Follower[T]) { f.wait = d } }
+// Wait sets what tells how long the next watch waits.
+func Wait[T any](wait func() time.Duration) Option[T] { return func(f *Follower[T]) { f.wait = wait } }
 
 // New returns a follower that brings what it learns to sink.
 func New[T any](feed kingcupstile.Feed[T], clock kingcupstile.Clock, sink Sink[T], options ...Option[T]) *Follower[T] {
-	f := &Follower[T]{feed: feed, clock: clock, sink: sink, wait: DefaultWait}
+	f := &Follower[T]{
+		feed: feed, clock: clock, sink: sink, wait: func() time.Duration { return DefaultWait }, nudge: make(chan struct{}, 1),
+	}
 	for _, option := range options {
 		option(f)
 	}
 	return f
 }
 
+// Nudge ends the watch under way and asks anew at once.
+func (f *Follower[T]) Nudge() {
+	select {
+	case f.nudge <- struct{}{}:
+	default:
+	}
+}
+
 // Run follows until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	pause := minPause
@@ -92,17 +109,49 @@
 }
 
 func (f *Follower[T]) changes(ctx context.Context, revision uint64) (uint64, error) {
-	call, cancel := context.WithTimeout(ctx, f.wait+slack)
-	defer cancel()
-	asked := f.clock.Now()
-	c, err := f.feed.Changes(call, revision, f.wait)
+	c, asked, err := f.watch(ctx, revision, f.wait())
+	for errors.Is(err, errNudged) {
+		c, asked, err = f.watch(ctx, revision, nudgedWait)
+	}
 	if err != nil {
 		return 0, err
 	}
 	f.sink.Changed(c, asked)
+	if len(c.Items) > 0 {
+		sleep(ctx, gather)
+	}
 	return c.Revision, nil
 }
 
+// errNudged says that a watch was ended by a nudge.
+var errNudged = errors.New("nudged")
+
+// watch makes one call, which a nudge ends.
+func (f *Follower[T]) watch(ctx context.Context, revision uint64, wait time.Duration) (listing.Changes[T], time.Duration, error) {
+	call, cancel := context.WithTimeout(ctx, wait+slack)
+	defer cancel()
+	type answer struct {
+		changes listing.Changes[T]
+		err     error
+	}
+	answers := make(chan answer, 1)
+	asked := f.clock.Now()
+	go func() {
+		c, err := f.feed.Changes(call, revision, wait)
+		answers <- answer{changes: c, err: err}
+	}()
+	nudge := f.nudge
+	if wait == nudgedWait {
+		nudge = nil
+	}
+	select {
+	case a := <-answers:
+		return a.changes, asked, a.err
+	case <-nudge:
+		return listing.Changes[T]{}, asked, errNudged
+	}
+}
+
 // sleep waits between half of d and d, and reports whether ctx is still going on.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d/2 + rand.N(d/2))
--- a/coordination/leveler/plan.go
+++ b/coordination/leveler/plan.go
@@ -120,6 +120,9 @@
 	p := Plan{Layout: make(rank.Layout, len(sets))}
 	heaviest, mean := 0.0, 0.0
 	for i, s := range sets {
+		for _, experts := range s.on {
+			slices.Sort(experts)
+		}
 		p.Layout[i] = s.on
 		heaviest += s.load[s.heaviest()]
 		mean += s.mean
--- a/coordination/overseer/event.go
+++ b/coordination/overseer/event.go
@@ -24,13 +24,17 @@
 // RunnersListed brings all registered runners.
 type RunnersListed struct {
 	Runners []runner.Runner
-	At      time.Duration
+	// Revision is the store's revision at which these were all.
+	Revision uint64
+	At       time.Duration
 }
 
 // RunnersChanged brings changes of registrations.
 type RunnersChanged struct {
 	Changes []listing.Change[runner.Runner]
-	At      time.Duration
+	// Revision is the store's revision up to which there were no others.
+	Revision uint64
+	At       time.Duration
 }
 
 // StoreLost says that the store did not answer about runners.
@@ -83,5 +87,9 @@
 // Forget asks for the removal of an entry's registration.
 type Forget struct{ Name string }
 
-func (Noted) isEffect()  {}
-func (Forget) isEffect() {}
+// Refresh asks the store anew: about the configuration, about runners, or both.
+type Refresh struct{ Config, Runners bool }
+
+func (Noted) isEffect()   {}
+func (Refresh) isEffect() {}
+func (Forget) isEffect()  {}
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -22,6 +22,18 @@
 	forgetAfter = time.Minute
 )
 
+const (
+	// relays is how many entries ask the store at short intervals; the others learn from them how new their knowledge is.
+	relays = 2
+	// relayedAge is the age of the knowledge of keys from which an entry asks the store itself: what it learns from relays
+	// is up to two of their watches and a beat old, and 0.8 s are left before it is too old.
+	relayedAge = 2200 * time.Millisecond
+	// behindTime is how long another entry may know more before the store is asked anew: an answer may be on its way.
+	behindTime = 250 * time.Millisecond
+	// refreshEvery is the least time between two such questions.
+	refreshEvery = 300 * time.Millisecond
+)
+
 // doubt is a runner whose registration went while the store was away.
 type doubt struct {
 	runner runner.Runner
@@ -46,6 +58,12 @@
 	known     bool
 	runners   runner.Set
 	listed    bool
+	// runnersAsOf is the store's revision up to which all changes of runners are known, runnersLast that of the last one.
+	runnersAsOf, runnersLast uint64
+	// behind is since when another entry knows of a change that this one does not, 0 for never.
+	behind time.Duration
+	// refreshed is when the store was last asked anew.
+	refreshed time.Duration
 	doubts    map[string]doubt
 	lostSince time.Duration
 	lost      bool
@@ -89,6 +107,30 @@
 // IsReady reports whether this entry can serve callers.
 func (s State) IsReady(now time.Duration) bool { return !s.leaving && s.listed && s.IsFresh(now) }
 
+// IsRelay reports whether this entry asks the store at short intervals: the first entries by name that are heard do, and
+// one that does not learn from them how new its knowledge is.
+func (s State) IsRelay(now time.Duration) bool {
+	before := 0
+	for _, b := range s.Beats(now) {
+		if b.Name < s.self.Name {
+			before++
+		}
+	}
+	return before < relays || s.Age(now) > relayedAge
+}
+
+// Beat returns the heartbeat for another entry, given the open work by runner.
+func (s State) Beat(to peer.Peer, open map[uint32]peer.Open, now time.Duration) peer.Beat {
+	b := peer.Beat{
+		Name: s.self.Name, Start: s.self.Start, Ready: s.IsReady(now), Leaving: s.leaving, Version: s.table.Version(),
+		Age: s.Age(now), Runners: s.runnersLast, Sent: now, Open: open,
+	}
+	if e := s.peers[to.Name]; e.heard > 0 {
+		b.Echo, b.Held = e.beat.Sent, now-e.heard
+	}
+	return b
+}
+
 // Self returns this entry's registration.
 func (s State) Self() peer.Peer { return s.self }
 
--- a/coordination/overseer/step.go
+++ b/coordination/overseer/step.go
@@ -18,8 +18,13 @@
 	case Confirmed:
 		return s.confirmedAt(e.Asked), nil
 	case RunnersListed:
+		s.runnersAsOf, s.runnersLast = max(s.runnersAsOf, e.Revision), max(s.runnersLast, s.runnersAsOf)
 		return s.runnersListed(e.Runners, e.At)
 	case RunnersChanged:
+		s.runnersAsOf = max(s.runnersAsOf, e.Revision)
+		for _, c := range e.Changes {
+			s.runnersLast = max(s.runnersLast, c.Revision)
+		}
 		return s.runnersChanged(e.Changes, e.At)
 	case StoreLost:
 		return s.storeLost(e.At)
@@ -176,12 +181,45 @@
 	s.peers = maps.Clone(s.peers)
 	e.beat, e.heard = b, at
 	s.peers[b.Name] = e
-	return s
+	return s.relayed(b)
+}
+
+// relayed takes in how new another entry's knowledge of the configuration in force is. That entry sent its beat later than
+// it heard this one's, so that its age counts from there on this entry's own clock, however long the beat was on its way.
+func (s State) relayed(b peer.Beat) State {
+	if !s.known || b.Echo == 0 || b.Version != s.table.Version() {
+		return s
+	}
+	return s.confirmedAt(b.Echo + b.Held - b.Age)
 }
 
-// tick drops runners whose registration did not come back and entries that are gone for good.
+// refresh decides whether the store has to be asked anew, as another entry knows more or nobody confirms what is known.
+func (s State) refresh(at time.Duration) (State, []Effect) {
+	var r Refresh
+	for _, b := range s.Beats(at) {
+		r.Config = r.Config || s.known && b.Version > s.table.Version()
+		r.Runners = r.Runners || s.listed && b.Runners > s.runnersAsOf
+	}
+	switch {
+	case !r.Config && !r.Runners:
+		s.behind = 0
+	case s.behind == 0:
+		s.behind, r = at, Refresh{}
+	case at-s.behind < behindTime:
+		r = Refresh{}
+	}
+	r.Config = r.Config || s.known && s.Age(at) > relayedAge
+	if r == (Refresh{}) || at-s.refreshed < refreshEvery {
+		return s, nil
+	}
+	s.refreshed = at
+	return s, []Effect{r}
+}
+
+// tick asks the store anew where that is due, and drops runners whose registration did not come back and entries that
+// are gone for good.
 func (s State) tick(at time.Duration) (State, []Effect) {
-	var effects []Effect
+	s, effects := s.refresh(at)
 	for id, d := range s.doubts {
 		if at < d.until {
 			continue
--- a/coordination/placer/board.go
+++ b/coordination/placer/board.go
@@ -1,11 +1,11 @@
 package placer
 
 import (
-	"maps"
 	"sync"
 	"time"
 
 	"github.com/kingcupstile/kingcupstile/state/peer"
+	"github.com/kingcupstile/kingcupstile/state/runner"
 )
 
 // fadeTime is the time in which the memory of failures halves, so that a runner is tried again after a few seconds.
@@ -19,6 +19,7 @@
 	mu       sync.Mutex
 	open     map[string]peer.Open
 	failures map[string]failure
+	heard    map[string]time.Duration
 }
 
 // failure is how often a runner failed lately, as of a time.
@@ -29,7 +30,7 @@
 
 // NewBoard returns a board with nothing open.
 func NewBoard() *Board {
-	return &Board{open: map[string]peer.Open{}, failures: map[string]failure{}}
+	return &Board{open: map[string]peer.Open{}, failures: map[string]failure{}, heard: map[string]time.Duration{}}
 }
 
 // Open counts a request with a number of prompt tokens on a runner; read is to be called once they are read, and
@@ -51,6 +52,7 @@
 	o.Unread += tokens
 	if o == (peer.Open{}) {
 		delete(b.open, id)
+		delete(b.heard, id)
 		return
 	}
 	b.open[id] = o
@@ -83,24 +85,44 @@
 	return f.count * (1 - max(0, halves)/2)
 }
 
-// Snapshot returns this entry's open work by runner.
-func (b *Board) Snapshot() map[string]peer.Open {
+// Hear remembers that a runner gave something.
+func (b *Board) Hear(id string, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return maps.Clone(b.open)
+	if _, open := b.open[id]; open {
+		b.heard[id] = now
+	}
+}
+
+// Heard returns when a runner last gave something, 0 if it has no open work or gave nothing.
+func (b *Board) Heard(id string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.heard[id]
+}
+
+// Snapshot returns this entry's open work under the runners' keys.
+func (b *Board) Snapshot() map[uint32]peer.Open {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	open := make(map[uint32]peer.Open, len(b.open))
+	for id, o := range b.open {
+		open[runner.Key(id)] = o
+	}
+	return open
 }
 
 // View returns what is known of all runners now, with the other entries' work added.
 func (b *Board) View(beats []peer.Beat, now time.Duration) View {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	v := View{open: maps.Clone(b.open), failures: make(map[string]float64, len(b.failures))}
+	v := View{entries: len(beats) + 1, open: map[uint32]peer.Open{}, failures: make(map[string]float64, len(b.failures))}
+	for id, o := range b.open {
+		v.add(runner.Key(id), o)
+	}
 	for _, beat := range beats {
-		for id, o := range beat.Open {
-			sum := v.open[id]
-			sum.Requests += o.Requests
-			sum.Unread += o.Unread
-			v.open[id] = sum
+		for key, o := range beat.Open {
+			v.add(key, o)
 		}
 	}
 	for id := range b.failures {
--- /dev/null
+++ b/protocol/messenger/entry.go
@@ -0,0 +1,48 @@
+package messenger
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kingcupstile/kingcupstile"
+	"github.com/kingcupstile/kingcupstile/protocol/messenger/wire"
+	"github.com/kingcupstile/kingcupstile/state/fault"
+	"github.com/kingcupstile/kingcupstile/state/peer"
+)
+
+// EncodeEntryBeat returns a heartbeat's datagram.
+func EncodeEntryBeat(b peer.Beat) ([]byte, error) {
+	m := &wire.EntryBeat{
+		Name: b.Name, Start: b.Start, Ready: b.Ready, Leaving: b.Leaving, Version: b.Version, Age: b.Age.Microseconds(),
+		Runners: b.Runners, Sent: b.Sent.Microseconds(), Echo: b.Echo.Microseconds(), Held: b.Held.Microseconds(),
+	}
+	for key, o := range b.Open {
+		m.Keys = append(m.Keys, key)
+		m.Requests = append(m.Requests, uint32(max(0, o.Requests)))
+		m.Unread = append(m.Unread, uint32(max(0, o.Unread)))
+	}
+	return proto.Marshal(m)
+}
+
+// DecodeEntryBeat returns the heartbeat of a datagram, or an Error of KindInvalid.
+func DecodeEntryBeat(datagram []byte) (peer.Beat, error) {
+	var m wire.EntryBeat
+	if err := proto.Unmarshal(datagram, &m); err != nil {
+		return peer.Beat{}, fault.New("read heartbeat", kingcupstile.KindInvalid, err)
+	}
+	if len(m.GetRequests()) != len(m.GetKeys()) || len(m.GetUnread()) != len(m.GetKeys()) {
+		return peer.Beat{}, fault.Newf("read heartbeat", kingcupstile.KindInvalid, "lists of different lengths")
+	}
+	b := peer.Beat{
+		Name: m.GetName(), Start: m.GetStart(), Ready: m.GetReady(), Leaving: m.GetLeaving(), Version: m.GetVersion(),
+		Age: microseconds(m.GetAge()), Runners: m.GetRunners(), Sent: microseconds(m.GetSent()), Echo: microseconds(m.GetEcho()),
+		Held: microseconds(m.GetHeld()), Open: make(map[uint32]peer.Open, len(m.GetKeys())),
+	}
+	for i, key := range m.GetKeys() {
+		b.Open[key] = peer.Open{Requests: int(m.GetRequests()[i]), Unread: int(m.GetUnread()[i])}
+	}
+	return b, nil
+}
+
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/protocol/messenger/rank.go
+++ b/protocol/messenger/rank.go
@@ -43,6 +43,30 @@
 	return o
 }
 
+// EncodeChanges returns changes of a layout with a number of ranks: for each its place, and its expert with whether it is
+// dropped.
+func EncodeChanges(changes []rank.Change, ranks int) []uint32 {
+	list := make([]uint32, 0, 2*len(changes))
+	for _, c := range changes {
+		expert := uint32(c.Expert) << 1
+		if c.Dropped {
+			expert |= 1
+		}
+		list = append(list, uint32(c.Set*ranks+c.Rank), expert)
+	}
+	return list
+}
+
+// DecodeChanges returns the changes of a layout with a number of ranks.
+func DecodeChanges(list []uint32, ranks int) []rank.Change {
+	changes := make([]rank.Change, 0, len(list)/2)
+	for i := 0; i+1 < len(list); i += 2 {
+		place, expert := int(list[i]), list[i+1]
+		changes = append(changes, rank.Change{Set: place / ranks, Rank: place % ranks, Expert: int(expert >> 1), Dropped: expert&1 == 1})
+	}
+	return changes
+}
+
 // EncodeHoldings returns what a rank holds as a message.
 func EncodeHoldings(h rank.Holdings) *wire.RankHoldings {
 	return &wire.RankHoldings{
--- a/protocol/translator/peer.go
+++ b/protocol/translator/peer.go
@@ -8,7 +8,7 @@
 	"github.com/kingcupstile/kingcupstile/state/peer"
 )
 
-// Peers encodes what entries register and tell each other.
+// Peers encodes what entries register.
 type Peers struct{}
 
 // peerText is a registration in the store.
@@ -35,41 +35,3 @@
 	}
 	return peer.Peer(p), nil
 }
-
-// beatText is a heartbeat; names are short, as it goes to every entry several times a second.
-type beatText struct {
-	Name    string            `json:"n"`
-	Start   int64             `json:"s"`
-	Ready   bool              `json:"r,omitempty"`
-	Leaving bool              `json:"l,omitempty"`
-	Version uint64            `json:"v,omitempty"`
-	Open    map[string][2]int `json:"o,omitempty"`
-}
-
-// EncodeBeat returns a heartbeat's datagram.
-func (Peers) EncodeBeat(b peer.Beat) ([]byte, error) {
-	t := beatText{Name: b.Name, Start: b.Start, Ready: b.Ready, Leaving: b.Leaving, Version: b.Version}
-	if len(b.Open) > 0 {
-		t.Open = make(map[string][2]int, len(b.Open))
-		for id, o := range b.Open {
-			t.Open[id] = [2]int{o.Requests, o.Unread}
-		}
-	}
-	return json.Marshal(t)
-}
-
-// DecodeBeat returns the heartbeat of a datagram, or an Error of KindInvalid.
-func (Peers) DecodeBeat(datagram []byte) (peer.Beat, error) {
-	var t beatText
-	if err := json.Unmarshal(datagram, &t); err != nil {
-		return peer.Beat{}, fault.New("read heartbeat", kingcupstile.KindInvalid, err)
-	}
-	b := peer.Beat{Name: t.Name, Start: t.Start, Ready: t.Ready, Leaving: t.Leaving, Version: t.Version}
-	if len(t.Open) > 0 {
-		b.Open = make(map[string]peer.Open, len(t.Open))
-		for id, o := range t.Open {
-			b.Open[id] = peer.Open{Requests: o[0], Unread: o[1]}
-		}
-	}
-	return b, nil
-}
--- a/standin/lockstep/group.go
+++ b/standin/lockstep/group.go
@@ -21,8 +21,16 @@
 	now   func() time.Duration
 	copy  time.Duration
 	ranks []member
+	// uncounted says that orders about maps do not add to the number of orders, so that late ones are not refused by it.
+	uncounted bool
 }
 
+// Option sets a field of a Group under construction.
+type Option func(*Group)
+
+// Uncounted has orders about maps not count as orders.
+func Uncounted() Option { return func(g *Group) { g.uncounted = true } }
+
 // member is one rank.
 type member struct {
 	orders   uint64
@@ -43,8 +51,11 @@
 }
 
 // New returns an open group that begins with a layout, reads the time from now and copies each expert in a time.
-func New(name string, first rank.Layout, now func() time.Duration, perCopy time.Duration) *Group {
+func New(name string, first rank.Layout, now func() time.Duration, perCopy time.Duration, options ...Option) *Group {
 	g := &Group{name: name, first: first, now: now, copy: perCopy}
+	for _, option := range options {
+		option(g)
+	}
 	g.Form()
 	return g
 }
@@ -136,7 +147,9 @@
 	case rank.VerbRelease:
 		m.held = 0
 	}
-	m.orders++
+	if !g.uncounted {
+		m.orders++
+	}
 	return nil
 }
 
@@ -171,6 +184,8 @@
 // holds reports whether the state that an order asks for holds already.
 func (m *member) holds(o rank.Order) bool {
 	switch o.Verb {
+	case rank.VerbPrepare:
+		return m.prepared.version == o.Version && o.Version != 0
 	case rank.VerbArm:
 		return m.armed == o.Version && m.at == o.Step && m.armed != 0
 	case rank.VerbHold:
--- a/state/listing/listing.go
+++ b/state/listing/listing.go
@@ -10,6 +10,8 @@
 type Change[T any] struct {
 	// Name is the object's name.
 	Name string
+	// Revision is the store's revision of the change.
+	Revision uint64
 	// Removed says that the object is gone.
 	Removed bool
 	// Valid says that Item could be read; an object that could not be read counts as absent.
--- a/state/peer/peer.go
+++ b/state/peer/peer.go
@@ -1,5 +1,7 @@
 package peer
 
+import "time"
+
 // Peer is an entry as it registered itself in the store.
 type Peer struct {
 	// Name is the entry's VM.
@@ -12,17 +14,25 @@
 	Centre, Region string
 }
 
-// Beat is what an entry tells the others at short intervals.
+// Beat is what an entry tells another one at short intervals.
 type Beat struct {
 	// Name and Start say which entry speaks.
 	Name  string
 	Start int64
 	// Ready says that the entry takes callers' requests, Leaving that it is about to stop.
 	Ready, Leaving bool
-	// Version is the version of the configuration in force at the entry.
+	// Version is the version of the configuration in force at the entry, and Age how old its knowledge is that this is the
+	// newest one.
 	Version uint64
-	// Open is the entry's unfinished work by runner.
-	Open map[string]Open
+	Age     time.Duration
+	// Runners is the store's revision of the last change of a runner's registration that the entry knows.
+	Runners uint64
+	// Sent is when the beat was sent, by the clock of the entry that speaks.
+	Sent time.Duration
+	// Echo is Sent of the last beat that the entry heard from the one to which it speaks, and Held how long ago it heard that.
+	Echo, Held time.Duration
+	// Open is the entry's unfinished work by runner, under the keys of package runner.
+	Open map[uint32]Open
 }
 
 // Open is an entry's unfinished work on one runner.
--- /dev/null
+++ b/state/rank/layout.go
@@ -0,0 +1,69 @@
+package rank
+
+import "slices"
+
+// Layout is which experts each rank holds, by set and rank, in order of numbers; it must not be changed.
+type Layout [][][]int
+
+// Holds reports whether lists by set are what a rank holds of the layout.
+func (l Layout) Holds(r int, experts [][]int) bool {
+	if len(experts) != len(l) {
+		return false
+	}
+	for i := range l {
+		if r >= len(l[i]) || !slices.Equal(l[i][r], slices.Sorted(slices.Values(experts[i]))) {
+			return false
+		}
+	}
+	return true
+}
+
+// Change is one expert that a rank takes in or drops.
+type Change struct {
+	Set, Rank, Expert int
+	Dropped           bool
+}
+
+// Changes returns what has to be changed in a layout of the same shape to come to l.
+func (l Layout) Changes(from Layout) []Change {
+	var list []Change
+	for i := range l {
+		for r := range l[i] {
+			for _, e := range l[i][r] {
+				if !slices.Contains(from[i][r], e) {
+					list = append(list, Change{Set: i, Rank: r, Expert: e})
+				}
+			}
+			for _, e := range from[i][r] {
+				if !slices.Contains(l[i][r], e) {
+					list = append(list, Change{Set: i, Rank: r, Expert: e, Dropped: true})
+				}
+			}
+		}
+	}
+	return list
+}
+
+// WithChanges returns the layout after changes, and false if one does not fit it.
+func (l Layout) WithChanges(changes []Change) (Layout, bool) {
+	next := make(Layout, len(l))
+	for i := range l {
+		next[i] = slices.Clone(l[i])
+	}
+	for _, c := range changes {
+		if c.Set >= len(next) || c.Rank >= len(next[c.Set]) {
+			return nil, false
+		}
+		held := next[c.Set][c.Rank]
+		at, there := slices.BinarySearch(held, c.Expert)
+		switch {
+		case there != c.Dropped:
+			return nil, false
+		case there:
+			next[c.Set][c.Rank] = slices.Delete(slices.Clone(held), at, at+1)
+		default:
+			next[c.Set][c.Rank] = slices.Insert(slices.Clone(held), at, c.Expert)
+		}
+	}
+	return next, true
+}
--- a/state/rank/report.go
+++ b/state/rank/report.go
@@ -64,5 +64,12 @@
 	Map Layout
 }
 
-// Layout is which experts each rank holds, by set, rank and place; it must not be changed.
-type Layout [][][]int
+// Carried is what became of an order.
+type Carried struct {
+	// Report is the rank's report after the order.
+	Report Report
+	// Whole is the version that the rank was seen to hold as ordered, 0 for none.
+	Whole uint64
+	// Failure is why the order was not known to have begun, nil if it was.
+	Failure error
+}
--- a/state/runner/runner.go
+++ b/state/runner/runner.go
@@ -1,5 +1,7 @@
 package runner
 
+import "github.com/cespare/xxhash/v2"
+
 // State says whether a runner takes new work.
 type State string
 
@@ -48,6 +50,9 @@
 	return r
 }
 
+// Key returns a short key for an identifier; two runners may share one, which only blurs the counts of their work.
+func Key(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
 // ID returns what names this incarnation.
 func (r Runner) ID() string { return r.id }
 
--- a/transport/beater/beater.go
+++ b/transport/beater/beater.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/kingcupstile/kingcupstile/protocol/messenger"
 	"github.com/kingcupstile/kingcupstile/state/peer"
 )
 
@@ -19,35 +20,30 @@
 	largest = 64 << 10
 )
 
-// Codec is the encoding of heartbeats.
-type Codec interface {
-	// EncodeBeat returns a heartbeat's datagram.
-	EncodeBeat(b peer.Beat) ([]byte, error)
-	// DecodeBeat returns the heartbeat of a datagram.
-	DecodeBeat(datagram []byte) (peer.Beat, error)
-}
-
 // Beater sends and receives heartbeats on one socket.
 type Beater struct {
 	socket net.PacketConn
-	codec  Codec
 	log    *slog.Logger
 }
 
 // New returns a beater on a socket, which it closes when Run ends.
-func New(socket net.PacketConn, codec Codec, log *slog.Logger) *Beater {
-	return &Beater{socket: socket, codec: codec, log: log}
+func New(socket net.PacketConn, log *slog.Logger) *Beater {
+	return &Beater{socket: socket, log: log}
 }
 
-// Run sends what speak returns to the peers and hands what it hears to hear until ctx ends.
-func (b *Beater) Run(ctx context.Context, speak func() (peer.Beat, []peer.Peer), hear func(peer.Beat)) {
+// Run sends each peer the beat for it that speak returns, and hands what it hears to hear until ctx ends.
+func (b *Beater) Run(ctx context.Context, speak func() map[string]peer.Beat, hear func(peer.Beat)) {
 	stop := context.AfterFunc(ctx, func() { _ = b.socket.Close() })
 	defer stop()
 	go b.listen(ctx, hear)
 	for {
-		beat, peers := speak()
-		b.send(beat, peers)
-		timer := time.NewTimer(max(interval, time.Duration(len(peers))*perPeer))
+		beats := speak()
+		for address, beat := range beats {
+			if err := b.send(address, beat); err != nil {
+				b.log.Debug("heartbeat not sent", "to", address, "error", err)
+			}
+		}
+		timer := time.NewTimer(max(interval, time.Duration(len(beats))*perPeer))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -57,21 +53,17 @@
 	}
 }
 
-func (b *Beater) send(beat peer.Beat, peers []peer.Peer) {
-	datagram, err := b.codec.EncodeBeat(beat)
+func (b *Beater) send(to string, beat peer.Beat) error {
+	datagram, err := messenger.EncodeEntryBeat(beat)
 	if err != nil {
-		b.log.Warn("heartbeat not sent", "error", err)
-		return
+		return err
 	}
-	for _, p := range peers {
-		address, err := net.ResolveUDPAddr("udp4", p.Beats)
-		if err == nil {
-			_, err = b.socket.WriteTo(datagram, address)
-		}
-		if err != nil {
-			b.log.Debug("heartbeat not sent", "entry", p.Name, "error", err)
-		}
+	address, err := net.ResolveUDPAddr("udp4", to)
+	if err != nil {
+		return err
 	}
+	_, err = b.socket.WriteTo(datagram, address)
+	return err
 }
 
 func (b *Beater) listen(ctx context.Context, hear func(peer.Beat)) {
@@ -84,7 +76,7 @@
 			}
 			return
 		}
-		beat, err := b.codec.DecodeBeat(buffer[:n])
+		beat, err := messenger.DecodeEntryBeat(buffer[:n])
 		if err != nil {
 			b.log.Warn("heartbeat not understood", "error", err)
 			continue
--- a/transport/caretaker/caretaker.go
+++ b/transport/caretaker/caretaker.go
@@ -10,8 +10,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/coordination/conductor"
+	"github.com/kingcupstile/kingcupstile/coordination/executor"
 	"github.com/kingcupstile/kingcupstile/coordination/leveler"
 	"github.com/kingcupstile/kingcupstile/coordination/looper"
 	"github.com/kingcupstile/kingcupstile/protocol/parser"
@@ -45,6 +48,8 @@
 	tickEvery = 20 * time.Millisecond
 	// callTimeout bounds a call to a rank, through the process beside it and then directly.
 	callTimeout = 300 * time.Millisecond
+	// giveTimeout bounds an order, with the copying of a map.
+	giveTimeout = 2800 * time.Millisecond
 	// learnTimeout bounds the reading of configuration and runners.
 	learnTimeout = 3 * time.Second
 	headerTime   = time.Second
@@ -63,14 +68,14 @@
 	meter    *meter.Meter
 	own      kingcupstile.Worker
 	mu       sync.Mutex
-	workers  map[string]kingcupstile.Worker
+	ranks    map[string]kingcupstile.Executor
 }
 
 // New returns the process beside a runner with the given settings.
 func New(s parser.Place, w World, log *slog.Logger) *Caretaker {
 	return &Caretaker{
 		settings: s, world: w, log: log.With("vm", s.Name), meter: meter.New(), own: w.Worker(s.Engine),
-		workers: map[string]kingcupstile.Worker{},
+		ranks: map[string]kingcupstile.Executor{},
 	}
 }
 
@@ -112,23 +117,23 @@
 	return net.JoinHostPort(ip, strconv.Itoa(c.settings.Internal[0]))
 }
 
-// worker returns what reaches the rank of the runner at an address.
-func (c *Caretaker) worker(address string) kingcupstile.Worker {
+// rank returns what reaches the rank of the runner at an address.
+func (c *Caretaker) rank(address string) kingcupstile.Executor {
 	if address == c.settings.Engine {
-		return c.own
+		return executor.New(c.own)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w, there := c.workers[address]
+	r, there := c.ranks[address]
 	if !there {
 		ip, _, err := net.SplitHostPort(address)
 		if err != nil {
-			return c.world.Worker(address)
+			return executor.New(c.world.Worker(address))
 		}
-		w = ranker.New(c.beside(ip), c.world.Worker(address))
-		c.workers[address] = w
+		r = ranker.New(c.beside(ip), c.world.Worker(address))
+		c.ranks[address] = r
 	}
-	return w
+	return r
 }
 
 // send hands an event to the control goroutine.
@@ -159,7 +164,7 @@
 func (c *Caretaker) ask(ctx context.Context, name string) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	r, err := c.worker(name).Report(call)
+	r, err := c.rank(name).Report(call)
 	if err != nil {
 		c.log.Debug("rank not heard", "runner", name, "error", err)
 		c.send(conductor.Missed{Runner: name, At: c.world.Clock.Now()})
@@ -169,12 +174,16 @@
 }
 
 func (c *Caretaker) give(ctx context.Context, e conductor.Give) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, giveTimeout)
 	defer cancel()
-	err := c.worker(e.Runner).Give(call, e.Order)
+	done, err := c.rank(e.Runner).Carry(call, e.Order)
 	c.log.Info("order", "runner", e.Runner, "verb", e.Order.Verb, "version", e.Order.Version, "step", e.Order.Step,
-		"epoch", e.Order.Epoch, "orders", e.Order.Orders, "outcome", outcome(err))
-	c.ask(ctx, e.Runner)
+		"epoch", e.Order.Epoch, "orders", e.Order.Orders, "outcome", outcome(errors.CombineErrors(err, done.Failure)))
+	if err != nil {
+		c.send(conductor.Missed{Runner: e.Runner, At: c.world.Clock.Now()})
+		return
+	}
+	c.send(conductor.Reported{Runner: e.Runner, Report: done.Report, Whole: done.Whole, At: c.world.Clock.Now()})
 }
 
 // outcome returns what became of an order, as the log names it.
@@ -188,7 +197,7 @@
 func (c *Caretaker) verify(ctx context.Context, name string) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	h, err := c.worker(name).Holdings(call)
+	h, err := c.rank(name).Holdings(call)
 	if err != nil {
 		c.log.Debug("rank not verified", "runner", name, "error", err)
 		c.send(conductor.Missed{Runner: name, At: c.world.Clock.Now()})
@@ -200,7 +209,7 @@
 func (c *Caretaker) count(ctx context.Context, name string) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	counts, err := c.worker(name).Counts(call)
+	counts, err := c.rank(name).Counts(call)
 	if err != nil {
 		c.log.Debug("rank not counted", "runner", name, "error", err)
 		return
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -84,8 +84,7 @@
 	}
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	if wait := patience * x.access.route.Goal(); x.access.route.IsRepeatable() && wait > 0 {
-		timer := time.AfterFunc(wait, l.cancel)
-		defer timer.Stop()
+		defer l.giveUp(wait)()
 	}
 	carried, err := conduit.Send(l.ctx, l.runner.Address(), conduit.Request{
 		Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host,
@@ -98,6 +97,29 @@
 	return l.answered(ctx)
 }
 
+// giveUp ends the attempt when no answer has begun for a time, unless the runner answers others meanwhile and so has only
+// not come to this one. The function that it returns ends that.
+func (l *live) giveUp(wait time.Duration) (stop func()) {
+	f, sent := l.exchange.forwarder, l.exchange.forwarder.clock.Now()
+	begun := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(wait)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+			case <-begun:
+				return
+			}
+			if f.board.Heard(l.runner.ID()) <= sent+wait/2 {
+				l.cancel()
+				return
+			}
+		}
+	}()
+	return func() { close(begun) }
+}
+
 // answered judges the head of the answer.
 func (l *live) answered(ctx context.Context) dispatcher.Event {
 	x := l.exchange
@@ -243,6 +265,7 @@
 // paused takes in the pause before an event.
 func (l *live) paused() {
 	now := l.exchange.forwarder.clock.Now()
+	l.exchange.forwarder.board.Hear(l.runner.ID(), now)
 	if l.before == 0 {
 		l.read()
 	} else {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -15,7 +15,6 @@
 	"github.com/kingcupstile/kingcupstile/coordination/placer"
 	"github.com/kingcupstile/kingcupstile/coordination/retrier"
 	"github.com/kingcupstile/kingcupstile/protocol/parser"
-	"github.com/kingcupstile/kingcupstile/protocol/translator"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 	"github.com/kingcupstile/kingcupstile/state/peer"
 	"github.com/kingcupstile/kingcupstile/state/routing"
@@ -58,6 +57,8 @@
 	forward  *forwarder.Forwarder
 	meter    *meter.Meter
 	self     peer.Peer
+	config   *follower.Follower[routing.Table]
+	runners  *follower.Follower[runner.Runner]
 }
 
 // New returns an entry with the given settings.
@@ -96,10 +97,13 @@
 		forwarder.Log(g.log), forwarder.Metrics(scope), forwarder.Board(g.board),
 		forwarder.Retries(retrier.New(retrier.Bursts(g.burst)), ratioShare*g.settings.Retries),
 	)
+	g.config = follower.New(g.world.Config, g.world.Clock, configSink{g}, follower.Wait[routing.Table](g.wait))
+	g.runners = follower.New(g.world.Runners, g.world.Clock, runnerSink{g}, follower.Wait[runner.Runner](g.wait))
 	go g.loop.Run(control)
-	go follower.New(g.world.Config, g.world.Clock, configSink{g}).Run(control)
-	go follower.New(g.world.Runners, g.world.Clock, runnerSink{g}).Run(control)
-	go follower.New(g.world.Entries, g.world.Clock, peerSink{g}, follower.Wait[peer.Peer](entryWait)).Run(control)
+	go g.config.Run(control)
+	go g.runners.Run(control)
+	entries := follower.New(g.world.Entries, g.world.Clock, peerSink{g}, follower.Wait[peer.Peer](func() time.Duration { return longWait }))
+	go entries.Run(control)
 	go g.tick(control)
 	servers, err := g.listen(control)
 	defer func() {
@@ -152,18 +156,18 @@
 	if err != nil {
 		return servers, fault.New("listen", KindListen, err)
 	}
-	go beater.New(socket, translator.Peers{}, g.log).Run(ctx, g.speak, g.hear)
+	go beater.New(socket, g.log).Run(ctx, g.speak, g.hear)
 	return servers, nil
 }
 
-// speak returns this entry's heartbeat and those to whom it goes.
-func (g *Gateway) speak() (peer.Beat, []peer.Peer) {
-	state := g.loop.Snapshot()
-	table, _ := state.Table()
-	return peer.Beat{
-		Name: g.self.Name, Start: g.self.Start, Ready: state.IsReady(g.world.Clock.Now()), Leaving: state.IsLeaving(),
-		Version: table.Version(), Open: g.board.Snapshot(),
-	}, state.Peers()
+// speak returns the heartbeats for the other entries by their addresses.
+func (g *Gateway) speak() map[string]peer.Beat {
+	state, now, open := g.loop.Snapshot(), g.world.Clock.Now(), g.board.Snapshot()
+	beats := map[string]peer.Beat{}
+	for _, p := range state.Peers() {
+		beats[p.Beats] = state.Beat(p, open, now)
+	}
+	return beats
 }
 
 func (g *Gateway) hear(b peer.Beat) {
@@ -202,6 +206,13 @@
 	switch e := effect.(type) {
 	case overseer.Noted:
 		g.log.Info(e.What, e.Details...)
+	case overseer.Refresh:
+		if e.Config {
+			g.config.Nudge()
+		}
+		if e.Runners {
+			g.runners.Nudge()
+		}
 	case overseer.Forget:
 		go func() {
 			if err := g.world.Registry.Remove(ctx, e.Name); err != nil {
--- a/transport/gateway/sinks.go
+++ b/transport/gateway/sinks.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/kingcupstile/kingcupstile/coordination/follower"
 	"github.com/kingcupstile/kingcupstile/coordination/overseer"
 	"github.com/kingcupstile/kingcupstile/state/listing"
 	"github.com/kingcupstile/kingcupstile/state/peer"
@@ -10,8 +11,17 @@
 	"github.com/kingcupstile/kingcupstile/state/runner"
 )
 
-// entryWait is how long a watch of the entries waits: heartbeats tell sooner of those that are known.
-const entryWait = 5 * time.Second
+// longWait is how long a watch waits whose age does not matter: of entries, and of those that learn from others how new
+// their knowledge is.
+const longWait = 15 * time.Second
+
+// wait returns how long the next watch of configuration or runners waits.
+func (g *Gateway) wait() time.Duration {
+	if g.loop.Snapshot().IsRelay(g.world.Clock.Now()) {
+		return follower.DefaultWait
+	}
+	return longWait
+}
 
 // configSink brings the configuration to the control goroutine.
 type configSink struct{ *Gateway }
@@ -43,12 +53,12 @@
 
 // Listed brings all runners.
 func (s runnerSink) Listed(l listing.Listing[runner.Runner], _ time.Duration) {
-	s.send(overseer.RunnersListed{Runners: l.Items, At: s.world.Clock.Now()})
+	s.send(overseer.RunnersListed{Runners: l.Items, Revision: l.Revision, At: s.world.Clock.Now()})
 }
 
 // Changed brings what changed.
 func (s runnerSink) Changed(c listing.Changes[runner.Runner], _ time.Duration) {
-	s.send(overseer.RunnersChanged{Changes: c.Items, At: s.world.Clock.Now()})
+	s.send(overseer.RunnersChanged{Changes: c.Items, Revision: c.Revision, At: s.world.Clock.Now()})
 }
 
 // Lost notes that the store did not answer.
--- a/transport/ranker/client.go
+++ b/transport/ranker/client.go
@@ -10,6 +10,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/kingcupstile/kingcupstile"
+	"github.com/kingcupstile/kingcupstile/coordination/executor"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger/wire"
 	"github.com/kingcupstile/kingcupstile/state/fault"
@@ -30,6 +31,7 @@
 	http   *http.Client
 	beside wire.Rank
 	direct kingcupstile.Worker
+	sent   *layouts
 }
 
 // New returns a client of the rank whose process is at an IP address and port.
@@ -38,7 +40,7 @@
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTime,
 		DisableCompression: true,
 	}}
-	return &Client{http: client, beside: wire.NewRankProtobufClient("http://"+address, client), direct: direct}
+	return &Client{http: client, beside: wire.NewRankProtobufClient("http://"+address, client), direct: direct, sent: newLayouts()}
 }
 
 // Report returns what the rank says of itself.
@@ -79,19 +81,47 @@
 	return rank.Holdings{}, decoded("holdings", err)
 }
 
-// Give gives an order; one that both the process and the rank may have got is carried out once, as it names the
-// number of orders before it.
-func (c *Client) Give(ctx context.Context, o rank.Order) error {
-	call, cancel := context.WithTimeout(ctx, besideTimeout)
-	defer cancel()
-	_, err := c.beside.Give(call, messenger.EncodeOrder(o))
+// Carry gives an order and sees to it; one that both the process and the rank may have got is carried out once, as it
+// names the number of orders before it.
+func (c *Client) Carry(ctx context.Context, o rank.Order) (rank.Carried, error) {
+	m, err := c.carry(ctx, o)
 	if err == nil {
-		return nil
+		carried := rank.Carried{Report: messenger.DecodeReport(m.GetReport()), Whole: m.GetWhole()}
+		if m.GetFailure() != "" {
+			carried.Failure = fault.New[kingcupstile.Kind]("give order", kingcupstile.Kind(m.GetFailure()), nil)
+		}
+		return carried, nil
 	}
 	if c.isSilent(err) {
-		return c.direct.Give(ctx, o)
+		return executor.Carry(ctx, c.direct, o)
+	}
+	return rank.Carried{}, decoded("give order", err)
+}
+
+// carry sends an order to the process beside the rank: a map as changes of the one before, or whole if that is unknown.
+func (c *Client) carry(ctx context.Context, o rank.Order) (*wire.RankReply, error) {
+	timeout := besideTimeout
+	if o.Verb == rank.VerbPrepare {
+		timeout = executor.CopyTimeout
+	}
+	call, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	m := messenger.EncodeOrder(o)
+	if o.Verb != rank.VerbPrepare {
+		return c.beside.Give(call, m)
+	}
+	version, layout, known := c.sent.last(o.Epoch)
+	c.sent.put(o.Epoch, o.Version, o.Map)
+	if known && version != o.Version {
+		short := messenger.EncodeOrder(rank.Order{Verb: o.Verb, Epoch: o.Epoch, Orders: o.Orders, Version: o.Version})
+		short.Base, short.Changes = version, messenger.EncodeChanges(o.Map.Changes(layout), len(layout[0]))
+		reply, err := c.beside.Give(call, short)
+		var answered twirp.Error
+		if !errors.As(err, &answered) || answered.Code() != twirp.NotFound {
+			return reply, err
+		}
 	}
-	return decoded("give order", err)
+	return c.beside.Give(call, m)
 }
 
 // isSilent reports whether the process beside the rank gave no answer of its own, and drops connections to it then.
--- a/transport/ranker/server.go
+++ b/transport/ranker/server.go
@@ -7,9 +7,11 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/kingcupstile/kingcupstile"
+	"github.com/kingcupstile/kingcupstile/coordination/executor"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger/wire"
 	"github.com/kingcupstile/kingcupstile/state/fault"
+	"github.com/kingcupstile/kingcupstile/state/rank"
 )
 
 // codes are how kinds of failure cross between processes.
@@ -21,10 +23,15 @@
 }
 
 // server answers for one rank.
-type server struct{ worker kingcupstile.Worker }
+type server struct {
+	worker  kingcupstile.Worker
+	layouts *layouts
+}
 
 // Handler serves a rank to the process that leads its group.
-func Handler(w kingcupstile.Worker) http.Handler { return wire.NewRankServer(server{worker: w}) }
+func Handler(w kingcupstile.Worker) http.Handler {
+	return wire.NewRankServer(server{worker: w, layouts: newLayouts()})
+}
 
 // Report returns what the rank says of itself.
 func (s server) Report(ctx context.Context, _ *wire.RankRequest) (*wire.RankReport, error) {
@@ -53,12 +60,32 @@
 	return messenger.EncodeHoldings(h), nil
 }
 
-// Give passes an order on to the rank.
+// Give gives the rank an order and sees to it.
 func (s server) Give(ctx context.Context, m *wire.RankOrder) (*wire.RankReply, error) {
-	if err := s.worker.Give(ctx, messenger.DecodeOrder(m)); err != nil {
+	o := messenger.DecodeOrder(m)
+	if len(m.GetChanges()) > 0 {
+		base, known := s.layouts.get(m.GetEpoch(), m.GetBase())
+		if !known {
+			return nil, twirp.NewError(twirp.NotFound, "the map that is to be changed")
+		}
+		layout, fits := base.WithChanges(messenger.DecodeChanges(m.GetChanges(), len(base[0])))
+		if !fits {
+			return nil, twirp.NewError(twirp.NotFound, "a map that the changes fit")
+		}
+		o.Map = layout
+	}
+	if o.Verb == rank.VerbPrepare {
+		s.layouts.put(o.Epoch, o.Version, o.Map)
+	}
+	carried, err := executor.Carry(ctx, s.worker, o)
+	if err != nil {
 		return nil, coded(err)
 	}
-	return &wire.RankReply{}, nil
+	reply := &wire.RankReply{Report: messenger.EncodeReport(carried.Report), Whole: carried.Whole}
+	if carried.Failure != nil {
+		reply.Failure = string(fault.KindOf[kingcupstile.Kind](carried.Failure))
+	}
+	return reply, nil
 }
 
 func coded(err error) error {
