commands: Explain a request from logs, show the users' store, reload at SIGHUP and never block on the log

SIGHUP ended the daemon before; it now reads the settings again. The weight of skew against moves is a setting.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -49,6 +49,8 @@
 			auditCommand(out),
 			drainCommand(out),
 			hashCommand(out),
+			siteCommand(out),
+			explainCommand(out),
 			demoCommand(out),
 			standaloneCommand(out),
 		},
--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -38,7 +38,7 @@
 			}
 			stop, kill, release := signals(ctx)
 			defer release()
-			return daemon.New(settings, daemon.Log(logger.New(out, settings.Level))).Run(stop, kill)
+			return daemon.New(settings, daemon.Log(logger.New(out, logger.Level(settings.Level)))).Run(stop, kill)
 		},
 	}
 }
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -34,35 +37,75 @@
 		}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			file := c.String(settingsFlag)
-			text, err := os.ReadFile(file)
+			settings, err := readPlace(file)
 			if err != nil {
-				return fault.New("run daemon", KindFiles, err)
+				return err
 			}
-			settings, err := parser.ParsePlace(file, text)
-			if err != nil {
-				return fault.New("run daemon", KindFiles, err)
-			}
-			log := logger.New(out, settings.Level)
-			client, codec := platform.NewClient(settings.Store), translator.Peers{}
+			queue := logger.NewQueue(out)
+			defer queue.Close()
+			level := &slog.LevelVar{}
+			level.Set(logger.Level(settings.Level))
+			log := logger.New(queue, level)
 			stop, _, release := signals(ctx)
 			defer release()
-			config, runners := platform.Config(client, log), platform.Servers(client, log)
-			if settings.Role == "endpoint" {
-				return caretaker.New(settings, caretaker.World{
-					Config: config, Runners: runners, Clock: timekeeper.Clock{},
-					Worker: func(address string) kingcupstile.Worker { return platform.NewEngine(address) },
-				}, log).Run(stop)
-			}
-			return gateway.New(settings, gateway.World{
-				Config:   config,
-				Runners:  runners,
-				Entries:  platform.Entries(client, codec, log),
-				Registry: platform.EntryRegistry(client, codec),
-				Dialect:  platform.Dialect{},
-				Clock:    timekeeper.Clock{},
-				Lookup:   platform.Lookup(min(lifetime, settings.Lifetime)),
-				Ready:    platform.Ready,
-			}, log).Run(stop)
+			go reload(stop, file, settings, level, log)
+			return servePlace(stop, settings, log)
 		},
 	}
 }
+
+func readPlace(file string) (parser.Place, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return parser.Place{}, fault.New("run daemon", KindFiles, err)
+	}
+	settings, err := parser.ParsePlace(file, text)
+	if err != nil {
+		return parser.Place{}, fault.New("run daemon", KindFiles, err)
+	}
+	return settings, nil
+}
+
+// servePlace runs the role that settings name until stop ends.
+func servePlace(stop context.Context, settings parser.Place, log *slog.Logger) error {
+	client, codec := platform.NewClient(settings.Store), translator.Peers{}
+	config, runners := platform.Config(client, log), platform.Servers(client, log)
+	if settings.Role == "endpoint" {
+		return caretaker.New(settings, caretaker.World{
+			Config: config, Runners: runners, Clock: timekeeper.Clock{},
+			Worker: func(address string) kingcupstile.Worker { return platform.NewEngine(address) },
+		}, log).Run(stop)
+	}
+	return gateway.New(settings, gateway.World{
+		Config:   config,
+		Runners:  runners,
+		Entries:  platform.Entries(client, codec, log),
+		Registry: platform.EntryRegistry(client, codec),
+		Dialect:  platform.Dialect{},
+		Clock:    timekeeper.Clock{},
+		Lookup:   platform.Lookup(min(lifetime, settings.Lifetime)),
+		Ready:    platform.Ready,
+	}, log).Run(stop)
+}
+
+// reload reads the settings again at each SIGHUP until ctx ends: the level of the log changes at once, anything else at
+// the next start.
+func reload(ctx context.Context, file string, running parser.Place, level *slog.LevelVar, log *slog.Logger) {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGHUP)
+	defer signal.Stop(received)
+	for {
+		select {
+		case <-received:
+		case <-ctx.Done():
+			return
+		}
+		next, err := readPlace(file)
+		if err != nil {
+			log.Warn("settings not reloaded", "error", err)
+			continue
+		}
+		level.Set(logger.Level(next.Level))
+		log.Info("settings reloaded", "level", next.Level, "others_changed", !next.IsSame(running))
+	}
+}
--- /dev/null
+++ b/coordination/overseer/overseer_test.go
@@ -0,0 +1,218 @@
+package overseer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/kingcupstile/kingcupstile/coordination/overseer"
+	"github.com/kingcupstile/kingcupstile/state/listing"
+	"github.com/kingcupstile/kingcupstile/state/peer"
+	"github.com/kingcupstile/kingcupstile/state/routing"
+	"github.com/kingcupstile/kingcupstile/state/runner"
+)
+
+const second = time.Second
+
+var self = peer.Peer{Name: "b", Start: 1, Callers: "b:1", Beats: "b:2", Centre: "x", Region: "r"}
+
+func play(s overseer.State, events ...overseer.Event) (overseer.State, []overseer.Effect) {
+	var all []overseer.Effect
+	for _, e := range events {
+		var effects []overseer.Effect
+		s, effects = overseer.Step(s, e)
+		all = append(all, effects...)
+	}
+	return s, all
+}
+
+func other(name, centre string) peer.Peer {
+	return peer.Peer{Name: name, Start: 7, Callers: name + ":1", Beats: name + ":2", Centre: centre, Region: "r"}
+}
+
+func TestVersionsOnlyGrow(t *testing.T) {
+	s, _ := play(overseer.New(self),
+		overseer.Configured{Table: routing.NewTable(9), Asked: second},
+		overseer.Configured{Table: routing.NewTable(4), Asked: 2 * second},
+	)
+	table, _ := s.Table()
+	if table.Version() != 9 || s.Age(2*second) != second {
+		t.Errorf("version %d, age %v", table.Version(), s.Age(2*second))
+	}
+}
+
+func TestKnowledgeOfKeysAges(t *testing.T) {
+	s := overseer.New(self, overseer.Trust(3*second))
+	if s.IsFresh(0) {
+		t.Error("fresh without a configuration")
+	}
+	s, _ = play(s, overseer.Configured{Table: routing.NewTable(1), Asked: 10 * second})
+	for at, want := range map[time.Duration]bool{10 * second: true, 12900 * time.Millisecond: true, 13 * second: false, 60 * second: false} {
+		if got := s.IsFresh(at); got != want {
+			t.Errorf("at %v: %t", at, got)
+		}
+	}
+	s, _ = play(s, overseer.Confirmed{Asked: 8 * second}, overseer.Confirmed{Asked: 11 * second})
+	if got := s.Age(12 * second); got != second {
+		t.Errorf("age %v", got)
+	}
+}
+
+// TestAgeFromAnotherEntry brings a beat that was long on its way: its age counts from this entry's own question.
+func TestAgeFromAnotherEntry(t *testing.T) {
+	start, _ := play(overseer.New(self),
+		overseer.PeersListed{Peers: []peer.Peer{other("a", "x")}},
+		overseer.Configured{Table: routing.NewTable(5), Asked: 10 * second},
+	)
+	beat := peer.Beat{Name: "a", Start: 7, Version: 5, Age: 200 * time.Millisecond, Echo: 12 * second, Held: 100 * time.Millisecond}
+	for name, test := range map[string]struct {
+		change func(*peer.Beat)
+		want   time.Duration
+	}{
+		"confirmed":            {func(*peer.Beat) {}, 11900 * time.Millisecond},
+		"without an echo":      {func(b *peer.Beat) { b.Echo = 0 }, 10 * second},
+		"of an older version":  {func(b *peer.Beat) { b.Version = 4 }, 10 * second},
+		"of a newer version":   {func(b *peer.Beat) { b.Version = 6 }, 10 * second},
+		"of a start before":    {func(b *peer.Beat) { b.Start = 6 }, 10 * second},
+		"whose age is greater": {func(b *peer.Beat) { b.Age = 9 * second }, 10 * second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := beat
+			test.change(&b)
+			s, _ := play(start, overseer.Heard{Beat: b, At: 20 * second})
+			if got := 20*second - s.Age(20*second); got != test.want {
+				t.Errorf("confirmed at %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestStoreIsAskedAnew(t *testing.T) {
+	start, _ := play(overseer.New(self),
+		overseer.PeersListed{Peers: []peer.Peer{other("a", "x")}},
+		overseer.RunnersListed{Revision: 50, At: 10 * second},
+		overseer.Configured{Table: routing.NewTable(5), Asked: 10 * second},
+	)
+	ask := func(b peer.Beat, at ...time.Duration) []overseer.Effect {
+		s, _ := play(start, overseer.Heard{Beat: b, At: 10 * second})
+		var asked []overseer.Effect
+		for _, when := range at {
+			var effects []overseer.Effect
+			s, effects = overseer.Step(s, overseer.Tick{At: when})
+			for _, e := range effects {
+				if r, ok := e.(overseer.Refresh); ok {
+					asked = append(asked, r)
+				}
+			}
+		}
+		return asked
+	}
+	ms := time.Millisecond
+	for name, test := range map[string]struct {
+		beat peer.Beat
+		at   []time.Duration
+		want []overseer.Effect
+	}{
+		"nothing new":  {peer.Beat{Name: "a", Start: 7, Version: 5, Runners: 50}, []time.Duration{10100 * ms, 10500 * ms}, nil},
+		"for a moment": {peer.Beat{Name: "a", Start: 7, Version: 6}, []time.Duration{10100 * ms}, nil},
+		"newer configuration": {
+			peer.Beat{Name: "a", Start: 7, Version: 6}, []time.Duration{10100 * ms, 10400 * ms, 10500 * ms},
+			[]overseer.Effect{overseer.Refresh{Config: true}},
+		},
+		"newer runners": {
+			peer.Beat{Name: "a", Start: 7, Version: 5, Runners: 51}, []time.Duration{10100 * ms, 10400 * ms},
+			[]overseer.Effect{overseer.Refresh{Runners: true}},
+		},
+		"nobody confirms": {
+			peer.Beat{Name: "a", Start: 7, Version: 5}, []time.Duration{12100 * ms, 12300 * ms},
+			[]overseer.Effect{overseer.Refresh{Config: true}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, ask(test.beat, test.at...)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func gone(id string) listing.Change[runner.Runner] {
+	return listing.Change[runner.Runner]{Name: id, Removed: true}
+}
+
+// TestLapsedRegistrations: a registration that is gone after the store was away has two seconds to come back; at any
+// other time it is gone at once.
+func TestLapsedRegistrations(t *testing.T) {
+	one, two := runner.New("1", "s", "h:1"), runner.New("2", "s", "h:2")
+	start, _ := play(overseer.New(self), overseer.RunnersListed{Runners: []runner.Runner{one, two}, At: second})
+	s, _ := play(start, overseer.RunnersChanged{Changes: []listing.Change[runner.Runner]{gone("1")}, At: 2 * second})
+	if len(s.Runners().Of("s")) != 1 {
+		t.Error("a runner that left is used")
+	}
+	s, _ = play(start,
+		overseer.StoreLost{At: 2 * second},
+		overseer.RunnersListed{Runners: []runner.Runner{two}, At: 6 * second},
+		overseer.Tick{At: 8 * second},
+	)
+	if len(s.Runners().Of("s")) != 2 {
+		t.Error("a lapsed runner is not waited for")
+	}
+	back, _ := play(s, overseer.RunnersChanged{Changes: []listing.Change[runner.Runner]{{Name: "1", Valid: true, Item: one}}, At: 8 * second},
+		overseer.Tick{At: 9 * second})
+	if len(back.Runners().Of("s")) != 2 {
+		t.Error("a runner that came back is not used")
+	}
+	s, _ = play(s, overseer.Tick{At: 8300 * time.Millisecond})
+	if len(s.Runners().Of("s")) != 1 {
+		t.Error("a runner that did not come back is used")
+	}
+}
+
+func TestStrangeRegistrationCountsAsAbsent(t *testing.T) {
+	s, _ := play(overseer.New(self),
+		overseer.RunnersListed{Runners: []runner.Runner{runner.New("1", "s", "h:1")}, At: second},
+		overseer.RunnersChanged{Changes: []listing.Change[runner.Runner]{{Name: "1"}}, At: 2 * second},
+	)
+	if s.Runners().Len() != 0 {
+		t.Error("a registration that cannot be read is used")
+	}
+}
+
+func TestAddresses(t *testing.T) {
+	now := 10 * second
+	start, _ := play(overseer.New(self),
+		overseer.PeersListed{Peers: []peer.Peer{other("a", "x"), other("c", "y"), other("d", "y"), other("e", "y")}, At: second},
+		overseer.RunnersListed{At: now},
+		overseer.Configured{Table: routing.NewTable(5), Asked: now},
+	)
+	for name, test := range map[string]struct {
+		beats []peer.Beat
+		leave bool
+		want  []string
+	}{
+		"nobody heard": {want: []string{"b:1"}},
+		"near ones": {
+			beats: []peer.Beat{{Name: "a", Start: 7, Ready: true}, {Name: "c", Start: 7, Ready: true}}, want: []string{"a:1", "b:1"},
+		},
+		"too few near": {
+			beats: []peer.Beat{{Name: "a", Start: 7}, {Name: "c", Start: 7, Ready: true}, {Name: "d", Start: 7, Ready: true, Leaving: true}},
+			want:  []string{"b:1", "c:1"},
+		},
+		"leaving itself": {beats: []peer.Beat{{Name: "c", Start: 7, Ready: true}}, leave: true, want: []string{"c:1"}},
+		"nobody ready":   {leave: true, want: []string{"a:1", "b:1", "c:1", "d:1", "e:1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start
+			for _, b := range test.beats {
+				s, _ = play(s, overseer.Heard{Beat: b, At: now})
+			}
+			if test.leave {
+				s, _ = play(s, overseer.Leave{})
+			}
+			if diff := cmp.Diff(test.want, s.Addresses("x", "r", now)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/coordination/placer/board.go
+++ b/coordination/placer/board.go
@@ -11,6 +11,9 @@
 // fadeTime is the time in which the memory of failures halves, so that a runner is tried again after a few seconds.
 const fadeTime = 2 * time.Second
 
+// forgiven is what is left of failures when they no longer count, so that an idle runner is tried again after some seconds.
+const forgiven = 0.1
+
 // maxFailures is the most failures that are remembered of one runner.
 const maxFailures = 8
 
@@ -82,7 +85,10 @@
 	for ; halves >= 1; halves-- {
 		f.count /= 2
 	}
-	return f.count * (1 - max(0, halves)/2)
+	if left := f.count * (1 - max(0, halves)/2); left >= forgiven {
+		return left
+	}
+	return 0
 }
 
 // Hear remembers that a runner gave something.
--- a/protocol/parser/place.go
+++ b/protocol/parser/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"reflect"
 	"strings"
 	"time"
 )
@@ -33,7 +34,15 @@
 	// Retries and Slack bound retries within a window: a share of the requests, and a number.
 	Retries float64 `json:"retries" min:"0"`
 	Slack   float64 `json:"slack" min:"0"`
-	Level   string  `json:"level" oneof:"debug,info,warn,error"`
+	// Weight is the weight of skew against moves of experts in hundredths.
+	Weight int    `json:"weight" min:"1"`
+	Level  string `json:"level" oneof:"debug,info,warn,error"`
+}
+
+// IsSame reports whether settings are the same but for the level of the log.
+func (p Place) IsSame(other Place) bool {
+	p.Level = other.Level
+	return reflect.DeepEqual(p, other)
 }
 
 const (
@@ -45,6 +54,8 @@
 	defaultGracePlace = 8 * time.Second
 	defaultLifetime   = 2 * time.Second
 	defaultRetries    = 0.2
+	// defaultWeight favours even steps: a stalled stream costs its reader more than a copy costs the group.
+	defaultWeight = 90
 )
 
 // Trust returns how old the knowledge of keys may be.
@@ -52,7 +63,10 @@
 
 // ParsePlace reads the settings of a daemon on the users' platform, or returns an Error whose cause names each mistake.
 func ParsePlace(file string, text []byte) (Place, error) {
-	p := Place{Grace: defaultGracePlace, Revoke: defaultRevoke, Lifetime: defaultLifetime, Retries: defaultRetries, Level: "info"}
+	p := Place{
+		Grace: defaultGracePlace, Revoke: defaultRevoke, Lifetime: defaultLifetime, Retries: defaultRetries, Weight: defaultWeight,
+		Level: "info",
+	}
 	if err := Decode(file, text, &p); err != nil {
 		return Place{}, err
 	}
--- /dev/null
+++ b/protocol/parser/place_test.go
@@ -0,0 +1,38 @@
+package parser_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/kingcupstile/kingcupstile/protocol/parser"
+)
+
+const place = `// An entry.
+{
+  "role": "entry", "name": "e-1", "centre": "kgl-a", "ip": "10.0.0.1", "store": "10.0.0.9:80",
+  "callers": "10.0.0.1:81", "ready": "10.0.0.1:82", "lookup": "10.0.0.1:83", "internal": [7340, 7355],
+}`
+
+func TestParsePlace(t *testing.T) {
+	p, err := parser.ParsePlace("place", []byte(place))
+	if err != nil || p.Internal[0] != 7340 || p.Trust().Seconds() != 3 {
+		t.Fatalf("%+v, %v", p, err)
+	}
+	for name, test := range map[string]struct{ old, new, want string }{
+		"role":     {`"entry"`, `"edge"`, `place:3:11: "role"`},
+		"address":  {`"10.0.0.9:80"`, `"store"`, `place:3:72: "store"`},
+		"ip":       {`"10.0.0.1",`, `"here",`, `place:3:54: "ip"`},
+		"callers":  {`"callers": "10.0.0.1:81",`, ``, "callers"},
+		"ports":    {`[7340, 7355]`, `[]`, "internal"},
+		"unknown":  {`"ip"`, `"zap": 1, "ip"`, "zap"},
+		"syntax":   {`{`, `[`, "place:"},
+		"duration": {`"ip"`, `"grace": "soon", "ip"`, "grace"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := parser.ParsePlace("place", []byte(strings.Replace(place, test.old, test.new, 1)))
+			if err == nil || !strings.Contains(err.Error(), test.want) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
--- a/transport/caretaker/caretaker.go
+++ b/transport/caretaker/caretaker.go
@@ -239,14 +239,14 @@
 		c.log.Warn("service unknown", "service", c.settings.Service)
 		return
 	}
-	c.send(ranked(service, list))
+	c.send(ranked(service, list, c.settings.Weight))
 }
 
 // ranked returns the event for the runners and engines of a service.
-func ranked(s routing.Service, list []runner.Runner) conductor.Ranked {
+func ranked(s routing.Service, list []runner.Runner, weight int) conductor.Ranked {
 	e := s.Engine()
 	event := conductor.Ranked{Shape: conductor.Shape{Sets: e.Sets, Experts: e.Experts, Bounds: leveler.Bounds{
-		Places: e.Places, Spare: e.Spare, Copy: e.Copy, Lead: switchLead, Horizon: horizon, Weight: 0.9,
+		Places: e.Places, Spare: e.Spare, Copy: e.Copy, Lead: switchLead, Horizon: horizon, Weight: float64(weight) / 100,
 	}}}
 	for _, r := range list {
 		if r.Service() == s.Name() {
