conductor: Let others complete a switch of which only the hold is seen

Now a rank that begins no pass although it has work looks for a held step; if none is armed and all have the same next map prepared, it completes that one, as a step is held only once all have it. A leader that wakes sees the map in use and goes on.

--- a/coordination/conductor/advance.go
+++ b/coordination/conductor/advance.go
@@ -91,6 +91,10 @@
 // hold has the first rank hold a step that is still to come.
 func (s State) hold(members []string, now time.Duration) (State, []Effect) {
 	first := s.views[members[0]].report
+	if first.Map == s.version {
+		// Another process completed the switch meanwhile.
+		return s.finished(members, now)
+	}
 	if s.step > 0 && first.Held == s.step {
 		s = s.enter(PhaseArming, now)
 		return s.arm(members, now)
@@ -162,7 +166,7 @@
 		return s.giveWhere(members, rank.VerbArm, now, func(r rank.Report) bool { return r.Armed == 0 })
 	case !leading:
 		return s, nil
-	case found.version != 0:
+	case found.some:
 		return s.giveWhere(members, rank.VerbDisarm, now, func(r rank.Report) bool { return r.Armed != 0 })
 	}
 	return s.replace(members, now)
@@ -170,10 +174,11 @@
 
 // arming is how far the ranks of a group are armed for a held step.
 type arming struct {
-	// version is one that some rank is armed for, 0 if none is.
+	// version is one that some rank is armed for, or that the first rank has prepared if none is, 0 if there is neither.
 	version uint64
-	// whole says that all ranks are armed for it, prepared that all have it prepared and none is armed for another.
-	whole, prepared bool
+	// some says that a rank is armed, whole that all are for that version, prepared that all have it prepared and none is
+	// armed for another.
+	some, whole, prepared bool
 }
 
 // armed returns how far the ranks are armed for the held step.
@@ -181,9 +186,13 @@
 	a := arming{whole: true, prepared: true}
 	for _, m := range members {
 		if r := s.views[m].report; r.Armed != 0 {
-			a.version = r.Armed
+			a.version, a.some = r.Armed, true
 		}
 	}
+	if first := s.views[members[0]].report; a.version == 0 && first.Prepared != first.Map {
+		// A step is held only once all ranks have the next map prepared.
+		a.version = first.Prepared
+	}
 	for _, m := range members {
 		r := s.views[m].report
 		a.whole = a.whole && r.Armed == a.version && r.ArmedStep == s.step
--- a/coordination/conductor/conductor_test.go
+++ b/coordination/conductor/conductor_test.go
@@ -65,6 +65,10 @@
 	late     float64
 	failed   error
 	switches int
+	// given is called after each order is on its way.
+	given func(r int, o rank.Order)
+	// advanced is when the last pass began, and longest the longest time without one.
+	advanced, longest time.Duration
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -121,9 +125,13 @@
 }
 
 func (w *world) pass() {
+	before := w.group.Step()
 	if w.failed == nil {
 		w.failed = w.group.Pass()
 	}
+	if w.group.Step() > before {
+		w.longest, w.advanced = max(w.longest, w.now-w.advanced), w.now
+	}
 	for r := range ranks {
 		for i, p := range w.popular {
 			w.counts[r][i] += uint64(100 * p)
@@ -203,6 +211,9 @@
 // prepares a map comes once the rank has copied it.
 func (w *world) give(r int, e conductor.Give) {
 	to, start := number(e.Runner), w.start[r]
+	if w.given != nil {
+		defer w.given(r, e.Order)
+	}
 	carry := func() { _ = w.group.Give(to, e.Order) }
 	if w.random.Float64() < w.late {
 		w.after(time.Duration(1+w.random.IntN(12000))*time.Millisecond, carry)
@@ -326,3 +337,25 @@
 		t.Errorf("%d of %d passes", w.group.Step(), passes)
 	}
 }
+
+// TestFrozenLeaderHoldsNobodyUp freezes the process that leads for 4 s right after each kind of order: the others complete
+// the switch before callers lose patience, which they do after two seconds without an event.
+func TestFrozenLeaderHoldsNobodyUp(t *testing.T) {
+	const patience, frozen = 2 * time.Second, 4 * time.Second
+	for _, verb := range []rank.Verb{rank.VerbPrepare, rank.VerbHold, rank.VerbArm, rank.VerbRelease} {
+		t.Run(string(verb), func(t *testing.T) {
+			for seed := range uint64(40) {
+				w := newWorld(t, seed)
+				w.given = func(r int, o rank.Order) {
+					if r == 0 && o.Verb == verb && w.frozen[0]+frozen < w.now {
+						w.frozen[0] = w.now + frozen
+					}
+				}
+				w.run(30 * time.Second)
+				if w.failed != nil || w.longest > patience/2 || w.switches < 4 {
+					t.Fatalf("seed %d: %v; no pass for %v; %d switches", seed, w.failed, w.longest, w.switches)
+				}
+			}
+		})
+	}
+}
--- a/coordination/conductor/state.go
+++ b/coordination/conductor/state.go
@@ -38,10 +38,10 @@
 	copyLost  = 3 * time.Second
 	// giveUp is how long ranks may take to prepare a map: twelve copies of a tenth of a second, with orders carried out late.
 	giveUp = 6 * time.Second
-	// silentAfter is how long a step may be held before another process completes the switch, and silentEach what each
-	// further rank adds: an order that is carried out at once takes a few milliseconds.
-	silentAfter = 350 * time.Millisecond
-	silentEach  = 150 * time.Millisecond
+	// silentAfter is how long no pass may begin before another process looks whether a step is held and completes the
+	// switch, and silentEach what each further rank adds: passes take a tenth of a second, and callers wait for two.
+	silentAfter = 250 * time.Millisecond
+	silentEach  = 100 * time.Millisecond
 	// versionStep spreads versions, so that two starts of a process do not give the same one to different maps.
 	versionStep = 1000
 )
@@ -83,7 +83,7 @@
 	plan      leveler.Plan
 	demand    leveler.Demand
 	window    []float64
-	// stuck is the step that the own rank was first seen to wait before, and when.
+	// stuck is the own rank's last pass, and since when it has begun no other although it has work.
 	stuck      uint64
 	stuckSince time.Duration
 }
--- a/coordination/conductor/step.go
+++ b/coordination/conductor/step.go
@@ -167,22 +167,20 @@
 	return s.withView(name, v), append(effects, Ask{Runner: name})
 }
 
-// watch notes since when the own rank waits before a step that it is armed for.
+// watch notes since when the own rank has begun no pass although it has work.
 func (s State) watch(now time.Duration) State {
 	r := s.views[s.self].report
-	switch {
-	case r.Armed == 0 || r.Step+1 != r.ArmedStep:
-		s.stuck = 0
-	case s.stuck != r.ArmedStep:
-		s.stuck, s.stuckSince = r.ArmedStep, now
+	if r.Step != s.stuck || r.Active == 0 && r.Armed == 0 {
+		s.stuck, s.stuckSince = r.Step, now
 	}
 	return s
 }
 
-// isSilent reports whether the process that leads seems to have left a switch unfinished, which this one completes.
+// isSilent reports whether the process that leads seems to have left a step held, which this one completes.
 func (s State) isSilent(now time.Duration) bool {
-	wait := silentAfter + time.Duration(s.views[s.self].report.Rank)*silentEach
-	return s.stuck > 0 && now-s.stuckSince >= wait
+	r := s.views[s.self].report
+	wait := silentAfter + time.Duration(r.Rank)*silentEach
+	return r.Open && r.Step == s.stuck && s.stuckSince > 0 && now-s.stuckSince >= wait
 }
 
 // look asks for counts and, once a window is full, plans.
--- a/standin/lockstep/group.go
+++ b/standin/lockstep/group.go
@@ -87,7 +87,7 @@
 	m := g.ranks[r]
 	report := rank.Report{
 		Group: g.name, Epoch: g.epoch, Rank: r, Size: len(g.ranks), Open: g.open, Step: g.step, Map: m.inUse.version,
-		Armed: m.armed, Held: m.held, Orders: m.orders, Pace: 1,
+		Armed: m.armed, Held: m.held, Orders: m.orders, Pace: 1, Active: 1,
 	}
 	if m.armed != 0 {
 		report.ArmedStep = m.at
@@ -207,7 +207,7 @@
 	g.step++
 	for r := range g.ranks {
 		if m := &g.ranks[r]; m.armed != 0 && m.at == g.step {
-			m.inUse, m.armed = m.prepared, 0
+			m.inUse, m.armed, m.prepared = m.prepared, 0, held{}
 		}
 	}
 	for r := range g.ranks {
