forwarder: Go on with a stream by a stream only

Now anything but a stream ends the attempt as failed, and the caller sees a cut. TestOnlyAStreamGoesOnWithAStream failed first.

--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -139,6 +139,8 @@
 		return l.failed(ctx, errors.New("status "+strconv.Itoa(answer.StatusCode)), true)
 	case success && x.access.route.IsStream() && strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream"):
 		return l.stream(ctx)
+	case x.dispatch.Next() > 0:
+		return l.failed(ctx, errors.New("no stream to go on with, status "+strconv.Itoa(answer.StatusCode)), true)
 	}
 	return l.whole(ctx)
 }
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -30,13 +30,15 @@
 
 // deployment is an entry before runners, with the platform's stand-in.
 type deployment struct {
-	t        *testing.T
-	store    *site.Store
-	runners  map[string]*site.Runner
-	settings parser.Place
-	stop     context.CancelFunc
-	ended    chan error
-	version  int
+	t       *testing.T
+	store   *site.Store
+	runners map[string]*site.Runner
+	// addresses are the runners'.
+	addresses map[string]string
+	settings  parser.Place
+	stop      context.CancelFunc
+	ended     chan error
+	version   int
 }
 
 // free returns an address on loopback that nobody listens on.
@@ -62,7 +64,7 @@
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: site.NewStore(), runners: map[string]*site.Runner{}, ended: make(chan error, 1)}
+	d := &deployment{t: t, store: site.NewStore(), runners: map[string]*site.Runner{}, addresses: map[string]string{}, ended: make(chan error, 1)}
 	server := httptest.NewServer(d.store)
 	t.Cleanup(server.Close)
 	d.configure(key)
@@ -104,7 +106,7 @@
 	r := site.NewRunner(id)
 	server := httptest.NewServer(r)
 	d.t.Cleanup(server.Close)
-	d.runners[id] = r
+	d.runners[id], d.addresses[id] = r, server.Listener.Addr().String()
 	d.register(id, service, server.Listener.Addr().String(), "ready")
 }
 
@@ -340,6 +342,26 @@
 	}
 }
 
+// TestOnlyAStreamGoesOnWithAStream has the second runner fail a stream of which events were passed on.
+func TestOnlyAStreamGoesOnWithAStream(t *testing.T) {
+	for _, fault := range []site.Fault{site.FaultError, site.FaultShed, site.FaultUnsealed} {
+		t.Run(string(fault), func(t *testing.T) {
+			d := newDeployment(t)
+			// The runner in the entry's own data centre is tried first.
+			d.store.Put("servers", "pool-b", map[string]any{
+				"service": "pool", "addr": d.addresses["pool-b"], "zone": "far", "slots": 4, "state": "ready",
+			})
+			time.Sleep(time.Second)
+			d.runners["pool-a"].Fail(site.FaultCut)
+			d.runners["pool-b"].Fail(fault)
+			a := d.call(http.MethodPost, "/draft/x", "", nil)
+			if a.status != http.StatusOK || a.err == nil || a.body != events(1, 2) {
+				t.Errorf("got %+v", a)
+			}
+		})
+	}
+}
+
 func TestCallerLeaves(t *testing.T) {
 	d := newDeployment(t)
 	d.failAll("desk", site.FaultMute)
