--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -64,7 +64,9 @@
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: site.NewStore(), runners: map[string]*site.Runner{}, addresses: map[string]string{}, ended: make(chan error, 1)}
+	d := &deployment{
+		t: t, store: site.NewStore(), runners: map[string]*site.Runner{}, addresses: map[string]string{}, ended: make(chan error, 1),
+	}
 	server := httptest.NewServer(d.store)
 	t.Cleanup(server.Close)
 	d.configure(key)
