--- a/coordination/carrier/carrier.go
+++ b/coordination/carrier/carrier.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/coordination/assembler"
+	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 	"github.com/kingcupstile/kingcupstile/coordination/publisher"
 	"github.com/kingcupstile/kingcupstile/coordination/spreader"
 	"github.com/kingcupstile/kingcupstile/state/fault"
@@ -194,7 +194,7 @@
 		case fault.KindOf[kingcupstile.Kind](err) == kingcupstile.KindMissing:
 			err = c.loop.Send(ctx, spreader.Confirmed{Version: version, Asked: asked})
 		}
-		if wait = next(wait, err); err != nil && !pause(ctx, wait) {
+		if wait = next(wait, err); err != nil && !pauser.Jitter(ctx, wait) {
 			return
 		}
 	}
@@ -216,7 +216,7 @@
 		case fault.KindOf[kingcupstile.Kind](err) == kingcupstile.KindMissing:
 			err = nil
 		}
-		if wait = next(wait, err); err != nil && !pause(ctx, wait) {
+		if wait = next(wait, err); err != nil && !pauser.Jitter(ctx, wait) {
 			return
 		}
 	}
@@ -236,18 +236,6 @@
 	return min(2*wait, maxPause)
 }
 
-// pause waits half of d and a random share of the rest, and reports whether ctx is still going on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + rand.N(d/2))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Exchange takes in another entry's heartbeat and answers with this entry's, which says that it heard.
 func (c *Carrier) Exchange(ctx context.Context, b member.Beat) (member.Beat, error) {
 	now := time.Now()
--- a/coordination/conductor/state.go
+++ b/coordination/conductor/state.go
@@ -80,7 +80,6 @@
 	replacing bool
 	wanted    rank.Layout
 	step      uint64
-	plan      leveler.Plan
 	demand    leveler.Demand
 	window    []float64
 	// stuck is the own rank's last pass, and since when it has begun no other although it has work.
@@ -93,18 +92,6 @@
 	return State{self: self, salt: salt % versionStep, views: map[string]view{}, phase: PhaseIdle, learnt: -learnEvery}
 }
 
-// Phase returns what a switch is waiting for.
-func (s State) Phase() Phase { return s.phase }
-
-// Report returns the own rank's last report.
-func (s State) Report() (rank.Report, bool) {
-	v := s.views[s.self]
-	return v.report, v.known
-}
-
-// Layout returns the map in use as far as this process made it, nil if it is not known.
-func (s State) Layout() rank.Layout { return s.layout }
-
 // IsLeading reports whether this process leads its group: it is beside the first rank.
 func (s State) IsLeading() bool {
 	v := s.views[s.self]
--- a/coordination/conductor/step.go
+++ b/coordination/conductor/step.go
@@ -84,8 +84,9 @@
 		s.learnt = now
 		effects = append(effects, Learn{})
 	}
+	pace := s.pace()
 	for _, r := range s.runners {
-		s, effects = s.ask(r, now, s.pace(), effects)
+		s, effects = s.ask(r, now, pace, effects)
 	}
 	s, more := s.advance(now)
 	effects = append(effects, more...)
@@ -249,7 +250,7 @@
 	if !pays {
 		return s, nil
 	}
-	s.plan, s.wanted, s.version = plan, plan.Layout, s.nextVersion(members)
+	s.wanted, s.version = plan.Layout, s.nextVersion(members)
 	s = s.enter(PhasePreparing, now)
 	s, effects := s.advance(now)
 	return s, append([]Effect{Noted{What: "switch begins", Details: []any{
--- a/coordination/follower/follower.go
+++ b/coordination/follower/follower.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/kingcupstile/kingcupstile"
+	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 	"github.com/kingcupstile/kingcupstile/state/listing"
 )
@@ -89,7 +89,7 @@
 			continue
 		}
 		f.sink.Lost(err)
-		if !sleep(ctx, pause) {
+		if !pauser.Jitter(ctx, pause) {
 			return
 		}
 		pause = min(2*pause, maxPause)
@@ -118,7 +118,7 @@
 	}
 	f.sink.Changed(c, asked)
 	if len(c.Items) > 0 {
-		sleep(ctx, gather)
+		pauser.Jitter(ctx, gather)
 	}
 	return c.Revision, nil
 }
@@ -151,15 +151,3 @@
 		return listing.Changes[T]{}, asked, errNudged
 	}
 }
-
-// sleep waits between half of d and d, and reports whether ctx is still going on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + rand.N(d/2))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -151,15 +151,3 @@
 func newIncarnation() attempt.Incarnation {
 	return attempt.Incarnation(strings.ToLower(rand.Text()[:incarnationLength]))
 }
-
-// pause waits and reports whether ctx is still going on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/transport/daemon/entry.go
+++ b/transport/daemon/entry.go
@@ -14,6 +14,7 @@
 	"github.com/kingcupstile/kingcupstile/coordination/director"
 	"github.com/kingcupstile/kingcupstile/coordination/lister"
 	"github.com/kingcupstile/kingcupstile/coordination/looper"
+	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 	"github.com/kingcupstile/kingcupstile/coordination/spreader"
 	"github.com/kingcupstile/kingcupstile/protocol/translator"
 	"github.com/kingcupstile/kingcupstile/state/fault"
@@ -87,7 +88,7 @@
 	if linger < 0 {
 		linger = min(lister.Lifetime, d.settings.Grace/2)
 	}
-	pause(leaving, linger)
+	pauser.Wait(leaving, linger)
 	if err := callers.Shutdown(leaving); err != nil {
 		return fault.New("stop entry", KindCut, err)
 	}
@@ -101,7 +102,7 @@
 
 // tick lets the control goroutine notice missed heartbeats.
 func (e *entry) tick(ctx context.Context) {
-	for pause(ctx, tickEvery) {
+	for pauser.Wait(ctx, tickEvery) {
 		_ = e.loop.Send(ctx, director.Tick{At: time.Now()})
 	}
 }
--- a/transport/daemon/watch.go
+++ b/transport/daemon/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/kingcupstile/kingcupstile/coordination/composer"
 	"github.com/kingcupstile/kingcupstile/coordination/director"
+	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 	"github.com/kingcupstile/kingcupstile/coordination/poller"
 	"github.com/kingcupstile/kingcupstile/state/attempt"
 	"github.com/kingcupstile/kingcupstile/state/roster"
@@ -60,7 +61,7 @@
 // poll brings an endpoint's reports, and the polls that it missed, to the control goroutine.
 func (e *entry) poll(ctx context.Context, w watch) {
 	misses, polled := 0, false
-	going := pause(ctx, poller.First(e.director().Every(), rand.Float64()))
+	going := pauser.Wait(ctx, poller.First(e.director().Every(), rand.Float64()))
 	for going {
 		reply, err := e.dialer.Report(ctx, w.endpoint)
 		if err != nil {
@@ -83,7 +84,7 @@
 		if misses == 0 && !polled {
 			wait, polled = poller.Second(e.director().Every(), rand.Float64()), true
 		}
-		going = pause(ctx, poller.Gap) && w.rest(ctx, wait-poller.Gap)
+		going = pauser.Wait(ctx, poller.Gap) && w.rest(ctx, wait-poller.Gap)
 	}
 }
 
@@ -101,7 +102,7 @@
 
 // fade lets endpoints at which attempts failed be tried again after a while.
 func (e *entry) fade(ctx context.Context) {
-	for pause(ctx, poller.Fastest) {
+	for pauser.Wait(ctx, poller.Fastest) {
 		e.watching.Range(func(endpoint, _ any) bool {
 			e.inFlight.Fade(endpoint.(string))
 			return true
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -40,7 +40,7 @@
 	a := attempt.New(x.demand.ID, attempt.Service(x.service), attempt.Account(x.access.account.Name()),
 		attempt.Repeatable(x.access.route.IsRepeatable()))
 	x.dispatch = dispatcher.New(a, dispatcher.Attempts(x.access.route.Attempts()), dispatcher.Direct())
-	defer func() { x.end() }()
+	defer x.end()
 	action := dispatcher.Action{Do: dispatcher.DoSend}
 	for {
 		var event dispatcher.Event
@@ -51,9 +51,9 @@
 			if x.forward(action.Frame) {
 				return
 			}
-			event = x.next(ctx)
+			event = x.live.next(ctx)
 		case dispatcher.DoIgnore:
-			event = x.next(ctx)
+			event = x.live.next(ctx)
 		default:
 			x.conclude(ctx, action)
 			return
@@ -100,9 +100,6 @@
 	return x.live.open(ctx)
 }
 
-// next returns the next event of the live attempt.
-func (x *exchange) next(ctx context.Context) dispatcher.Event { return x.live.next(ctx) }
-
 // forward writes a frame to the caller and reports whether the exchange is over.
 func (x *exchange) forward(f attempt.Frame) bool {
 	if f.IsLast() {
--- a/transport/fronter/exchange.go
+++ b/transport/fronter/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/kingcupstile/kingcupstile/coordination/admitter"
 	"github.com/kingcupstile/kingcupstile/coordination/dispatcher"
 	"github.com/kingcupstile/kingcupstile/coordination/keeper"
+	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 	"github.com/kingcupstile/kingcupstile/coordination/suspecter"
 	"github.com/kingcupstile/kingcupstile/protocol/translator"
 	"github.com/kingcupstile/kingcupstile/state/attempt"
@@ -101,7 +102,7 @@
 	defer x.close()
 	for {
 		var event dispatcher.Event
-		if !wait(ctx, action.Wait) {
+		if action.Wait > 0 && !pauser.Wait(ctx, action.Wait) {
 			x.dispatch, action = x.dispatch.On(x.attempt.Endpoint(), dispatcher.TimedOut{})
 			continue
 		}
@@ -233,21 +234,6 @@
 	return dispatcher.Settled{Outcome: outcome, Lost: err != nil}
 }
 
-// wait waits and reports whether ctx is still going on.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d == 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // forward writes a frame to the caller and reports whether the answer is complete.
 func (x *exchange) forward(f attempt.Frame) bool {
 	if f.IsLast() {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/kingcupstile/kingcupstile/coordination/follower"
 	"github.com/kingcupstile/kingcupstile/coordination/looper"
 	"github.com/kingcupstile/kingcupstile/coordination/overseer"
+	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 	"github.com/kingcupstile/kingcupstile/coordination/placer"
 	"github.com/kingcupstile/kingcupstile/coordination/retrier"
 	"github.com/kingcupstile/kingcupstile/protocol/parser"
@@ -189,14 +190,14 @@
 			return
 		}
 		g.log.Warn("not registered", "error", err)
-		if !pause(ctx, retryTime) {
+		if !pauser.Wait(ctx, retryTime) {
 			return
 		}
 	}
 }
 
 func (g *Gateway) tick(ctx context.Context) {
-	for pause(ctx, tickEvery) {
+	for pauser.Wait(ctx, tickEvery) {
 		g.send(overseer.Tick{At: g.world.Clock.Now()})
 	}
 }
@@ -221,15 +222,3 @@
 		}()
 	}
 }
-
-// pause waits and reports whether ctx is still going on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/transport/gateway/leave.go
+++ b/transport/gateway/leave.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kingcupstile/kingcupstile/coordination/overseer"
+	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 )
 
 const (
@@ -25,7 +26,7 @@
 	linger := time.Duration(lingerShare * float64(g.settings.Grace))
 	last := time.Duration(endShare * float64(g.settings.Grace))
 	quiet := began
-	for pause(ctx, pollEvery) {
+	for pauser.Wait(ctx, pollEvery) {
 		passed := time.Since(began)
 		if passed >= linger {
 			g.forward.Refuse()
--- a/transport/ranker/client.go
+++ b/transport/ranker/client.go
@@ -116,8 +116,7 @@
 		short := messenger.EncodeOrder(rank.Order{Verb: o.Verb, Epoch: o.Epoch, Orders: o.Orders, Version: o.Version})
 		short.Base, short.Changes = version, messenger.EncodeChanges(o.Map.Changes(layout), len(layout[0]))
 		reply, err := c.beside.Give(call, short)
-		var answered twirp.Error
-		if !errors.As(err, &answered) || answered.Code() != twirp.NotFound {
+		if code(err) != twirp.NotFound {
 			return reply, err
 		}
 	}
@@ -126,23 +125,28 @@
 
 // isSilent reports whether the process beside the rank gave no answer of its own, and drops connections to it then.
 func (c *Client) isSilent(err error) bool {
-	var answered twirp.Error
-	if errors.As(err, &answered) && answered.Code() != twirp.Internal && answered.Code() != twirp.Unknown {
+	if c := code(err); c != "" && c != twirp.Internal && c != twirp.Unknown {
 		return false
 	}
 	c.http.CloseIdleConnections()
 	return true
 }
 
-// decoded returns the failure that another process told of.
-func decoded(op string, err error) error {
-	kind := kingcupstile.KindUnavailable
+// code returns the code of another process's answer, empty if there was none.
+func code(err error) twirp.ErrorCode {
 	var answered twirp.Error
 	if errors.As(err, &answered) {
-		for k, code := range codes {
-			if code == answered.Code() {
-				kind = k
-			}
+		return answered.Code()
+	}
+	return ""
+}
+
+// decoded returns the failure that another process told of.
+func decoded(op string, err error) error {
+	kind, got := kingcupstile.KindUnavailable, code(err)
+	for k, c := range codes {
+		if c == got {
+			kind = k
 		}
 	}
 	return fault.New(op, kind, err)
--- a/transport/relayer/relayer.go
+++ b/transport/relayer/relayer.go
@@ -12,6 +12,7 @@
 
 	"github.com/kingcupstile/kingcupstile/coordination/composer"
 	"github.com/kingcupstile/kingcupstile/coordination/limiter"
+	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 	"github.com/kingcupstile/kingcupstile/coordination/suspecter"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger/wire"
 	"github.com/kingcupstile/kingcupstile/state/fault"
@@ -114,7 +115,7 @@
 // load brings what the platform and some entries know of suspects, at once and then every minute from the platform.
 func (r *Relayer) load(ctx context.Context) {
 	pulled := false
-	for wait := time.Duration(0); sleep(ctx, wait); {
+	for wait := time.Duration(0); pauser.Wait(ctx, wait); {
 		if others := r.others(); !pulled && len(others) > 0 {
 			pulled = r.pull(ctx, others)
 		}
@@ -147,14 +148,3 @@
 	}
 	return wire.NewEntryProtobufClient("http://"+address, r.client), nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
