conductor: Bring a group out of a held step without its first rank

Change: rank 1 holds, at an order that goes from the leader's own VM; the first rank is armed last, once all others were seen armed. Traced: a process that still believed step 248 held heard of ranks armed for 255 and disarmed them.

--- a/coordination/conductor/event.go
+++ b/coordination/conductor/event.go
@@ -73,6 +73,9 @@
 type Give struct {
 	Runner string
 	Order  rank.Order
+	// Direct says that the order goes from this VM to the runner, not by way of the process beside it, so that no VM but
+	// this one has to last until it is followed by others.
+	Direct bool
 }
 
 // Verify asks what a runner holds; the answer is Verified or Missed.
--- a/coordination/conductor/state.go
+++ b/coordination/conductor/state.go
@@ -76,12 +76,16 @@
 	// layout is the map in use, nil while it is not known, and version the one that this process gave last.
 	layout  rank.Layout
 	version uint64
-	// replacing says that a map of this process's own is prepared for a step that was found held.
-	replacing bool
-	wanted    rank.Layout
-	step      uint64
-	demand    leveler.Demand
-	window    []float64
+	wanted  rank.Layout
+	// step is the one that is held in the switch under way, and free the first that no start of this process has had held
+	// in the epoch: an order about a step that comes late must not meet another switch.
+	step, free uint64
+	// dead is, while a held step is settled, a version that is not below the one whose switch waits for that step, and
+	// filling says that newer versions are prepared so that it can no longer be armed.
+	dead    uint64
+	filling bool
+	demand  leveler.Demand
+	window  []float64
 	// stuck is the own rank's last pass, and since when it has begun no other although it has work.
 	stuck      uint64
 	stuckSince time.Duration
@@ -104,21 +108,36 @@
 	return s
 }
 
-// members returns the group's runners by rank, and false unless every rank is known in the present epoch.
-func (s State) members() ([]string, bool) {
+// ranks returns the group's runners by rank, empty where none is known in the present epoch, and how many are known.
+func (s State) ranks() (list []string, known int) {
 	own := s.views[s.self].report
-	list := make([]string, own.Size)
-	found := 0
+	list = make([]string, own.Size)
 	for name, v := range s.views {
 		r := v.report
 		if v.known && r.Group == own.Group && r.Epoch == own.Epoch && r.Open && r.Rank < len(list) && list[r.Rank] == "" {
 			list[r.Rank] = name
-			found++
+			known++
 		}
 	}
-	return list, found > 0 && found == len(list)
+	return list, known
 }
 
+// members returns the group's runners by rank, and false unless every rank is known in the present epoch.
+func (s State) members() ([]string, bool) {
+	list, known := s.ranks()
+	return list, known > 0 && known == len(list)
+}
+
+// others returns the ranks that are armed before the first one, which is beside the process that leads; the only rank of
+// a group of one is among them.
+func others(list []string) []string { return list[min(1, len(list)-1):] }
+
+// holder returns the rank that holds a step: not the first, so that the VM of the process that leads may be lost.
+func holder(list []string) string { return others(list)[0] }
+
+// holding returns the report of the rank that holds steps.
+func (s State) holding(list []string) rank.Report { return s.views[holder(list)].report }
+
 func (s State) enter(p Phase, now time.Duration) State {
 	s.phase, s.since = p, now
 	return s
@@ -126,36 +145,37 @@
 
 // nextVersion returns a version above all that any rank has had and that no other start of a process would give.
 func (s State) nextVersion(members []string) uint64 {
-	highest := s.version
-	for _, m := range members {
+	return (max(s.version, s.highest(members))/versionStep+1)*versionStep + s.salt
+}
+
+// highest returns the highest version that ranks report.
+func (s State) highest(list []string) uint64 {
+	highest := uint64(0)
+	for _, m := range list {
 		r := s.views[m].report
 		highest = max(highest, r.Map, r.Prepared, r.Armed)
 	}
-	return (highest/versionStep+1)*versionStep + s.salt
+	return highest
 }
 
 // forgotten returns the state for a new epoch, of which nothing is known.
 func (s State) forgotten(epoch uint64, now time.Duration) State {
-	s.epoch, s.version, s.step, s.wanted, s.layout, s.replacing = epoch, 0, 0, nil, nil, false
+	s.epoch, s.version, s.step, s.wanted, s.layout, s.filling, s.dead = epoch, 0, 0, nil, nil, false, 0
+	s.free = s.views[s.self].report.Step + lead + 1
 	return s.enter(PhaseIdle, now)
 }
 
-// inUse returns the map in use, put together from what all ranks hold, and nil unless all use the same version.
-func (s State) inUse(members []string) rank.Layout {
-	first := s.views[members[0]]
-	var layout rank.Layout
-	for r, m := range members {
-		v := s.views[m]
-		if v.holding != s.epoch || v.holdings.Map != first.holdings.Map || v.holdings.Map != v.report.Map {
-			return nil
-		}
-		if layout == nil {
-			layout = make(rank.Layout, len(v.holdings.InUse))
-			for i := range layout {
-				layout[i] = make([][]int, len(members))
-			}
-		}
-		if len(v.holdings.InUse) != len(layout) {
+// inUse returns the map in use, put together from what ranks hold, and nil unless all of them use the same version; from is
+// the first of the ranks that are asked.
+func (s State) inUse(list []string, from int) rank.Layout {
+	first := s.views[list[from]]
+	layout := make(rank.Layout, len(first.holdings.InUse))
+	for i := range layout {
+		layout[i] = make([][]int, len(list))
+	}
+	for r := from; r < len(list); r++ {
+		v := s.views[list[r]]
+		if !s.isVerified(v) || v.holdings.Map != first.holdings.Map || len(v.holdings.InUse) != len(layout) {
 			return nil
 		}
 		for i, experts := range v.holdings.InUse {
@@ -165,6 +185,11 @@
 	return layout
 }
 
+// isVerified reports whether a runner was seen to hold what it has in use now.
+func (s State) isVerified(v view) bool {
+	return v.holding == s.epoch && v.holdings.Map == v.report.Map
+}
+
 // hasPrepared reports whether a runner was seen to hold its part of the wanted map.
 func (s State) hasPrepared(v view) bool {
 	return v.report.Prepared == s.version && v.whole == s.version && v.report.Epoch == s.epoch
--- a/coordination/conductor/step.go
+++ b/coordination/conductor/step.go
@@ -140,13 +140,17 @@
 	if !whole {
 		return s, effects
 	}
-	if layout := s.inUse(members); layout != nil {
+	if layout := s.inUse(members, 0); layout != nil {
 		s.layout, s.version = layout, s.views[members[0]].report.Map
 		return s, append(effects, Noted{What: "map learnt", Details: []any{"version", s.version, "epoch", s.epoch, "ranks", len(members)}})
 	}
-	for _, m := range members {
-		v := s.views[m]
-		if now >= v.busy && (v.holding != s.epoch || v.holdings.Map != v.report.Map) {
+	return s.verify(members, now, effects)
+}
+
+// verify asks runners what they hold, where that is not known.
+func (s State) verify(list []string, now time.Duration, effects []Effect) (State, []Effect) {
+	for _, m := range list {
+		if v := s.views[m]; now >= v.busy && !s.isVerified(v) {
 			v.busy = now + lostAfter
 			s = s.withView(m, v)
 			effects = append(effects, Verify{Runner: m})
@@ -289,8 +293,8 @@
 		return s, effects
 	}
 	v.busy = now + lostAfter
-	if verb == rank.VerbPrepare {
+	if verb == rank.VerbPrepare && !s.filling {
 		v.busy = now + copyLost
 	}
-	return s.withView(name, v), append(effects, Give{Runner: name, Order: s.order(verb, v.report)})
+	return s.withView(name, v), append(effects, Give{Runner: name, Order: s.order(verb, v.report), Direct: verb == rank.VerbHold})
 }
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -65,3 +65,8 @@
 func (e Executor) Carry(ctx context.Context, o rank.Order) (rank.Carried, error) {
 	return Carry(ctx, e.Worker, o)
 }
+
+// Direct gives an order and sees to it.
+func (e Executor) Direct(ctx context.Context, o rank.Order) (rank.Carried, error) {
+	return Carry(ctx, e.Worker, o)
+}
--- a/transport/caretaker/caretaker.go
+++ b/transport/caretaker/caretaker.go
@@ -176,7 +176,11 @@
 func (c *Caretaker) give(ctx context.Context, e conductor.Give) {
 	call, cancel := context.WithTimeout(ctx, giveTimeout)
 	defer cancel()
-	done, err := c.rank(e.Runner).Carry(call, e.Order)
+	carry := c.rank(e.Runner).Carry
+	if e.Direct {
+		carry = c.rank(e.Runner).Direct
+	}
+	done, err := carry(call, e.Order)
 	c.log.Info("order", "runner", e.Runner, "verb", e.Order.Verb, "version", e.Order.Version, "step", e.Order.Step,
 		"epoch", e.Order.Epoch, "orders", e.Order.Orders, "outcome", outcome(errors.CombineErrors(err, done.Failure)))
 	if err != nil {
--- a/transport/ranker/client.go
+++ b/transport/ranker/client.go
@@ -98,6 +98,16 @@
 	return rank.Carried{}, decoded("give order", err)
 }
 
+// Direct gives an order to the rank itself, and asks the process beside it what came of that: what the rank reports to
+// other VMs is some hundred milliseconds old.
+func (c *Client) Direct(ctx context.Context, o rank.Order) (rank.Carried, error) {
+	call, cancel := context.WithTimeout(ctx, besideTimeout)
+	defer cancel()
+	given := c.direct.Give(call, o)
+	r, err := c.Report(ctx)
+	return rank.Carried{Report: r, Failure: given}, err
+}
+
 // carry sends an order to the process beside the rank: a map as changes of the one before, or whole if that is unknown.
 func (c *Client) carry(ctx context.Context, o rank.Order) (*wire.RankReply, error) {
 	timeout := besideTimeout
--- a/worker.go
+++ b/worker.go
@@ -29,4 +29,6 @@
 	Holdings(ctx context.Context) (rank.Holdings, error)
 	// Carry gives an order and returns how the rank is after it, for a map once it is copied.
 	Carry(ctx context.Context, o rank.Order) (rank.Carried, error)
+	// Direct gives an order to the rank itself, not by way of its VM, and returns how the rank is after it.
+	Direct(ctx context.Context, o rank.Order) (rank.Carried, error)
 }
