leveler: Weigh copies by the group's size, and remove leases, fences and the old switch

Change: what is copied counts for each rank and set, so that one weight fits groups of 12 and of 63 ranks; the price at equal weights is 14 s of mean passes. Removed: coordination/holder, fencer and switcher, state/lease, their codec and specification. No daemon ran them: the process beside rank 0 leads, orders name the epoch, and the users' engines keep no fences. Their tests went with them; what spec/lease.pml said of publishing stays in spec/publish.pml with its three variants.

--- a/coordination/leveler/plan.go
+++ b/coordination/leveler/plan.go
@@ -35,8 +35,11 @@
 	copyingSlows = 0.15
 	// leastGain is the least fall of the heaviest load over the mean that a change is made for: less is within the noise.
 	leastGain = 0.04
-	// movePrice is what one copy costs at equal weights, in seconds in which passes take twice their time.
-	movePrice = 0.0005
+	// movePrice is what a copy for each rank and set costs at equal weights, in seconds of mean passes: with nine parts of
+	// skew to one of moves, about what the users charge for copying against slow passes.
+	movePrice = 14
+	// leastWeight is the weight of skew that is counted with at least, so that a weight of 0 divides nothing.
+	leastWeight = 0.01
 	// budgetSteps are the copies for each rank that plans are tried with: few are quick, many bring more.
 	budgetSteps = 5
 )
@@ -93,7 +96,12 @@
 	left := b.Horizon - copying - b.Lead
 	gain := (p.Before - p.After) * left.Seconds()
 	cost := copyingSlows * p.Before * copying.Seconds()
-	return gain - cost - movePrice*float64(p.Copies)*(1-b.Weight)/max(b.Weight, movePrice)
+	return gain - cost - movePrice*p.moved()*(1-b.Weight)/max(b.Weight, leastWeight)
+}
+
+// moved returns how many experts are copied for each rank and set.
+func (p Plan) moved() float64 {
+	return float64(p.Copies) / float64(max(1, len(p.Layout)*len(p.Layout[0])))
 }
 
 // level spreads the experts of all sets with at most a number of copies to each rank.
--- a/spec/doc.go
+++ b/spec/doc.go
@@ -1,3 +1,3 @@
-// Package spec holds the specification of the lease, of fencing and of publishing, which its test checks with Spin;
+// Package spec holds the specifications of publishing and of the switch of expert maps, which its tests check with Spin;
 // it holds no code.
 package spec
--- a/state/object/object.go
+++ b/state/object/object.go
@@ -9,7 +9,6 @@
 const (
 	KindConfig  Kind = "config"
 	KindPart    Kind = "part"
-	KindLease   Kind = "lease"
 	KindClaim   Kind = "claim"
 	KindMap     Kind = "map"
 	KindSuspect Kind = "suspect"
