soak: Run real entries under random faults, and let trust in keys scale

Added: lab/soak runs three entries as processes before stand-ins of store and runners; loopback relays delay, reset, silence and cut one way; signals kill, pause, stop and reload; runners and the store fail, keys move, runners are replaced, in series that overlap. It checks from callers and runners: once at most, true refusals, whole answers, no run under a key taken away, service within 8 s of the last fault. TestStoreIsAskedBeforeTrustEnds failed first at 1.8 s.

--- a/coordination/overseer/overseer_test.go
+++ b/coordination/overseer/overseer_test.go
@@ -269,3 +269,24 @@
 		t.Errorf("told of %v", got)
 	}
 }
+
+// TestStoreIsAskedBeforeTrustEnds has nobody confirm the configuration: whatever the time to trust it, the store is asked
+// while a third of a second and more is left for its answer.
+func TestStoreIsAskedBeforeTrustEnds(t *testing.T) {
+	for _, trust := range []time.Duration{1800 * time.Millisecond, 3 * second, 6 * second} {
+		t.Run(trust.String(), func(t *testing.T) {
+			s, _ := play(overseer.New(self, overseer.Trust(trust)),
+				overseer.RunnersListed{At: 10 * second}, overseer.Configured{Table: routing.NewTable(5), Asked: 10 * second})
+			for at := 10 * second; at < 10*second+trust-second/3; at += 100 * time.Millisecond {
+				var effects []overseer.Effect
+				s, effects = overseer.Step(s, overseer.Tick{At: at})
+				for _, e := range effects {
+					if r, ok := e.(overseer.Refresh); ok && r.Config {
+						return
+					}
+				}
+			}
+			t.Error("never asked")
+		})
+	}
+}
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -26,9 +26,9 @@
 const (
 	// relays is how many entries ask the store at short intervals; the others learn from them how new their knowledge is.
 	relays = 2
-	// relayedAge is the age of the knowledge of keys from which an entry asks the store itself: what it learns from relays
-	// is up to two of their watches and a beat old, and 0.8 s are left before it is too old.
-	relayedAge = 2200 * time.Millisecond
+	// relayedShare is the share of the time to trust keys after which an entry asks the store itself: what it learns from
+	// relays is up to two of their watches and a beat old, and the rest is left for the answer.
+	relayedShare = 0.73
 	// behindTime is how long another entry may know more before the store is asked anew: an answer may be on its way.
 	behindTime = 250 * time.Millisecond
 	// refreshEvery is the least time between two such questions.
@@ -119,9 +119,12 @@
 			before++
 		}
 	}
-	return before < relays || s.Age(now) > relayedAge
+	return before < relays || s.Age(now) > s.relayedAge()
 }
 
+// relayedAge is the age of the knowledge of keys from which this entry asks the store itself.
+func (s State) relayedAge() time.Duration { return time.Duration(relayedShare * float64(s.trust)) }
+
 // Beat returns the heartbeat for another entry, given the open work by runner.
 func (s State) Beat(to peer.Peer, open map[uint32]peer.Open, now time.Duration) peer.Beat {
 	b := peer.Beat{
--- a/coordination/overseer/step.go
+++ b/coordination/overseer/step.go
@@ -215,7 +215,7 @@
 	case at-s.behind < behindTime:
 		r = Refresh{}
 	}
-	r.Config = r.Config || s.known && s.Age(at) > relayedAge
+	r.Config = r.Config || s.known && s.Age(at) > s.relayedAge()
 	if r == (Refresh{}) || at-s.refreshed < refreshEvery {
 		return s, nil
 	}
--- a/lab/main.go
+++ b/lab/main.go
@@ -13,6 +13,7 @@
 	"github.com/kingcupstile/kingcupstile/lab/load"
 	"github.com/kingcupstile/kingcupstile/lab/path"
 	"github.com/kingcupstile/kingcupstile/lab/picking"
+	"github.com/kingcupstile/kingcupstile/lab/soak"
 	"github.com/kingcupstile/kingcupstile/lab/spread"
 )
 
@@ -26,6 +27,7 @@
 			entries.Command(os.Stdout),
 			load.Command(os.Stdout),
 			path.Command(os.Stdout),
+			soak.Command(os.Stdout),
 			spread.Command(os.Stdout),
 			picking.Command(os.Stdout),
 			picking.SubsetsCommand(os.Stdout),
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/kingcupstile/kingcupstile/state/fault"
 )
@@ -24,6 +25,7 @@
 	target   string
 
 	mu       sync.Mutex
+	delay    time.Duration
 	open     []*link
 	accepted int
 	bytes    int64
@@ -34,6 +36,8 @@
 	near, far net.Conn
 	mu        sync.Mutex
 	silent    bool
+	// mute says that nothing that comes from the target is delivered.
+	mute bool
 }
 
 // New returns a relay on loopback before the target's IP address and port.
@@ -76,6 +80,43 @@
 	return len(r.open)
 }
 
+// Mute lets nothing that comes from the target through on any open connection; what goes to it still does.
+func (r *Relay) Mute() {
+	r.each(func(l *link) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.mute = true
+	})
+}
+
+// Reset resets every open connection.
+func (r *Relay) Reset() {
+	r.each(func(l *link) {
+		for _, c := range []net.Conn{l.near, l.far} {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	})
+}
+
+// Delay holds everything back for a time from now on.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+func (r *Relay) each(do func(*link)) {
+	r.mu.Lock()
+	open := append([]*link(nil), r.open...)
+	r.mu.Unlock()
+	for _, l := range open {
+		do(l)
+	}
+}
+
 // Close ends every connection and stops listening.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -111,8 +152,8 @@
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
+		time.Sleep(r.count(n))
 		delivers := l.deliver(to, b[:n])
-		r.count(n)
 		if err == nil {
 			continue
 		}
@@ -128,7 +169,7 @@
 func (l *link) deliver(to io.Writer, b []byte) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.silent {
+	if l.silent || l.mute && to == io.Writer(l.near) {
 		return false
 	}
 	if len(b) > 0 {
@@ -137,10 +178,12 @@
 	return true
 }
 
-func (r *Relay) count(n int) {
+// count counts bytes and returns how long they are held back.
+func (r *Relay) count(n int) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.bytes += int64(n)
+	return r.delay
 }
 
 func (r *Relay) forget(gone *link) {
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -37,6 +37,7 @@
 type Run struct {
 	Method, Target, Body string
 	Header               http.Header
+	At                   time.Time
 }
 
 // Runner answers requests: paths that begin with /draft/ in a stream, all others whole.
@@ -103,7 +104,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	r.runs = append(r.runs, Run{Method: q.Method, Target: q.RequestURI, Body: string(body), Header: q.Header.Clone()})
+	r.runs = append(r.runs, Run{Method: q.Method, Target: q.RequestURI, Body: string(body), Header: q.Header.Clone(), At: time.Now()})
 	crashes := r.poison != "" && r.poison == string(body)
 	r.mu.Unlock()
 	if crashes {
--- a/transport/gateway/sinks.go
+++ b/transport/gateway/sinks.go
@@ -15,10 +15,14 @@
 // their knowledge is.
 const longWait = 15 * time.Second
 
+// watchShare is the part of the time to trust keys that a watch of a relay waits at most: two of them and a heartbeat
+// have to fit into what other entries wait before they ask the store themselves.
+const watchShare = 0.3
+
 // wait returns how long the next watch of configuration or runners waits.
 func (g *Gateway) wait() time.Duration {
 	if g.loop.Snapshot().IsRelay(g.world.Clock.Now()) {
-		return follower.DefaultWait
+		return min(follower.DefaultWait, time.Duration(watchShare*float64(g.settings.Trust())))
 	}
 	return longWait
 }
