overseer: Take entries for silent by how often they speak

Cause: heartbeats become rarer with the number of entries (10 ms each), but silence was a second whatever that number: from 101 entries on each would have taken all others for silent between two of their heartbeats. Found by reading for docs/CAPACITY.md. Ruled out: a cap on the interval, which lets control traffic grow with the square of the entries. Change: the interval is decided in overseer, silence is five of them, and crashes are told for fifteen. TestManyEntriesHearEachOther failed first at 150 and 1,000 entries (0 of 149 heard); at 7 and 40 entries nothing changes but that 40 entries are given 2 s instead of 1. Conclusion: an entry that dies is noticed after 50 ms for each entry; at 1,000 that is 50 s, too long: to be told on by others next.

--- a/coordination/overseer/addresses.go
+++ b/coordination/overseer/addresses.go
@@ -30,7 +30,7 @@
 	}
 	add(s.self.Callers, s.self.Centre, s.self.Region, s.IsReady(now))
 	for _, e := range s.peers {
-		add(e.peer.Callers, e.peer.Centre, e.peer.Region, e.isUsable(now))
+		add(e.peer.Callers, e.peer.Centre, e.peer.Region, e.isUsable(now, s.silence()))
 	}
 	for _, list := range [][]string{near, regional, all} {
 		if len(list) >= fewest {
@@ -44,7 +44,7 @@
 }
 
 // isUsable reports whether callers may be sent to an entry; a new one is given time for its first beat.
-func (e entry) isUsable(now time.Duration) bool {
+func (e entry) isUsable(now, silence time.Duration) bool {
 	if e.heard == 0 {
 		return now-e.since < silence
 	}
--- a/coordination/overseer/crashes.go
+++ b/coordination/overseer/crashes.go
@@ -12,8 +12,8 @@
 	// crashLimit is how many runners a request may end before it is refused: fewer would blame those that run beside it,
 	// as ranks of a group fail together, and the platform's rules count from the third.
 	crashLimit = 3
-	// tellFor is how long a crash is told in heartbeats: a dozen of them, as datagrams get lost.
-	tellFor = 3 * time.Second
+	// toldBeats is in how many heartbeats a crash is told, as datagrams get lost.
+	toldBeats = 15
 	// mostTold bounds the crashes in one heartbeat, so that control traffic stays within 7 KB a second.
 	mostTold = 8
 )
@@ -29,6 +29,7 @@
 
 // news returns the crashes to tell an entry: those of late, and all that fit to one that is new.
 func (s State) news(e entry, now time.Duration) []suspect.Crash {
+	tellFor := toldBeats * s.BeatEvery()
 	since := now - tellFor
 	if now-e.since < tellFor {
 		since = now - suspect.CrashLife
--- a/coordination/overseer/overseer_test.go
+++ b/coordination/overseer/overseer_test.go
@@ -1,6 +1,7 @@
 package overseer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -290,3 +291,31 @@
 		})
 	}
 }
+
+// TestManyEntriesHearEachOther has many entries speak as often as they are to: however many there are, none is taken for
+// silent between two of its heartbeats, and one that stopped is after a few of them.
+func TestManyEntriesHearEachOther(t *testing.T) {
+	for _, entries := range []int{7, 40, 150, 1000} {
+		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
+			list := make([]peer.Peer, 0, entries-1)
+			for n := range entries - 1 {
+				list = append(list, other(fmt.Sprintf("e-%04d", n), "x"))
+			}
+			s, _ := play(overseer.New(self), overseer.PeersListed{Peers: list, At: second})
+			every := s.BeatEvery()
+			at := 100 * second
+			for range 3 {
+				for _, p := range list {
+					s, _ = play(s, overseer.Heard{Beat: peer.Beat{Name: p.Name, Start: p.Start, Ready: true, Sent: second}, At: at})
+				}
+				at += every
+			}
+			if got := len(s.Beats(at)); got != entries-1 {
+				t.Errorf("%d of %d heard after an interval of %v", got, entries-1, every)
+			}
+			if got := len(s.Beats(at + 5*every)); got != 0 {
+				t.Errorf("%d heard after five more", got)
+			}
+		})
+	}
+}
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -17,8 +17,13 @@
 	returnTime = 2200 * time.Millisecond
 	// outage is how long the store has to be away before lapsed registrations are waited for: a fast runner's two heartbeats.
 	outage = time.Second
-	// silence is how long an entry may be unheard before callers are not sent to it: five beats at the default interval.
-	silence = time.Second
+	// silentBeats is how many heartbeats may be missed before callers are not sent to an entry: datagrams get lost.
+	silentBeats = 5
+	// beatEvery is how often an entry speaks to each other one while there are few: twice a pause between events, so that what
+	// it says of open work is of use.
+	beatEvery = 200 * time.Millisecond
+	// beatPerPeer is what each further entry adds to that, so that control traffic does not grow with their number.
+	beatPerPeer = 10 * time.Millisecond
 	// forgetAfter is how long an entry is unheard before its registration is removed; replaced VMs are gone for good.
 	forgetAfter = time.Minute
 )
@@ -139,6 +144,14 @@
 	return b
 }
 
+// BeatEvery returns how often an entry speaks to each of the others.
+func (s State) BeatEvery() time.Duration {
+	return max(beatEvery, time.Duration(len(s.peers))*beatPerPeer)
+}
+
+// silence returns how long an entry may be unheard before it is taken for silent.
+func (s State) silence() time.Duration { return silentBeats * s.BeatEvery() }
+
 // Self returns this entry's registration.
 func (s State) Self() peer.Peer { return s.self }
 
@@ -155,7 +168,7 @@
 func (s State) Beats(now time.Duration) []peer.Beat {
 	var list []peer.Beat
 	for _, e := range s.peers {
-		if e.heard > 0 && now-e.heard < silence && e.beat.Start == e.peer.Start {
+		if e.heard > 0 && now-e.heard < s.silence() && e.beat.Start == e.peer.Start {
 			list = append(list, e.beat)
 		}
 	}
--- a/transport/beater/beater.go
+++ b/transport/beater/beater.go
@@ -11,11 +11,6 @@
 )
 
 const (
-	// interval is how often an entry speaks while there are few: twice a pause between events, so that what it says of
-	// open work is of use.
-	interval = 200 * time.Millisecond
-	// perPeer is what each further entry adds to the interval, so that control traffic stays below 7 KB a second.
-	perPeer = 10 * time.Millisecond
 	// largest is the most bytes of a datagram.
 	largest = 64 << 10
 )
@@ -31,19 +26,20 @@
 	return &Beater{socket: socket, log: log}
 }
 
-// Run sends each peer the beat for it that speak returns, and hands what it hears to hear until ctx ends.
-func (b *Beater) Run(ctx context.Context, speak func() map[string]peer.Beat, hear func(peer.Beat)) {
+// Run sends each peer the beat for it that speak returns, again after the time that it returns, and hands what it hears to
+// hear until ctx ends.
+func (b *Beater) Run(ctx context.Context, speak func() (map[string]peer.Beat, time.Duration), hear func(peer.Beat)) {
 	stop := context.AfterFunc(ctx, func() { _ = b.socket.Close() })
 	defer stop()
 	go b.listen(ctx, hear)
 	for {
-		beats := speak()
+		beats, every := speak()
 		for address, beat := range beats {
 			if err := b.send(address, beat); err != nil {
 				b.log.Debug("heartbeat not sent", "to", address, "error", err)
 			}
 		}
-		timer := time.NewTimer(max(interval, time.Duration(len(beats))*perPeer))
+		timer := time.NewTimer(every)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -165,14 +165,14 @@
 	return servers, nil
 }
 
-// speak returns the heartbeats for the other entries by their addresses.
-func (g *Gateway) speak() map[string]peer.Beat {
+// speak returns the heartbeats for the other entries by their addresses, and when to speak again.
+func (g *Gateway) speak() (map[string]peer.Beat, time.Duration) {
 	state, now, open := g.loop.Snapshot(), g.world.Clock.Now(), g.board.Snapshot()
 	beats := map[string]peer.Beat{}
 	for _, p := range state.Peers() {
 		beats[p.Beats] = state.Beat(p, open, now)
 	}
-	return beats
+	return beats, state.BeatEvery()
 }
 
 func (g *Gateway) hear(b peer.Beat) {
