--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -68,7 +68,7 @@
 func newWorld() (*world, error) {
 	w := &world{store: site.NewStore(), taken: map[string]time.Time{}}
 	server := httptest.NewServer(w.store)
-	w.address, w.closers = server.Listener.Addr().String(), append(w.closers, server.Close)
+	w.address, w.closers = server.Listener.Addr().String(), append(w.closers, closer(server))
 	w.configure()
 	for _, service := range []string{"pool", "desk"} {
 		for range runners {
@@ -80,6 +80,14 @@
 	return w, nil
 }
 
+// closer returns what ends a server with the connections on which it still answers.
+func closer(server *httptest.Server) func() {
+	return func() {
+		server.CloseClientConnections()
+		server.Close()
+	}
+}
+
 func (w *world) close() {
 	for _, p := range w.list() {
 		p.relay.Close()
@@ -112,7 +120,7 @@
 	}
 	p := &place{id: id, service: service, runner: r, relay: passes}
 	w.mu.Lock()
-	w.places, w.closers = append(w.places, p), append(w.closers, server.Close)
+	w.places, w.closers = append(w.places, p), append(w.closers, closer(server))
 	w.mu.Unlock()
 	w.register(p, "ready")
 	return nil
