--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -152,6 +153,8 @@
 	kind, name, named := strings.Cut(path, "/")
 	switch {
 	case silent:
+		// The server notices that a caller has left only once the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 	case refuse != 0:
 		w.WriteHeader(refuse)
