--- a/commands/explain.go
+++ b/commands/explain.go
@@ -42,7 +42,7 @@
 				found = append(found, lines...)
 			}
 			if len(found) == 0 {
-				return fault.Newf("explain", KindFailed, "no line speaks of request %q: it was served at once, or its lines were left out (lines left out)", id)
+				return fault.Newf("explain", KindFailed, "no line speaks of request %q: it was served at once, or its lines were left out", id)
 			}
 			slices.SortStableFunc(found, func(a, b line) int { return strings.Compare(a.time, b.time) })
 			for _, l := range found {
