--- a/coordination/leveler/plan_test.go
+++ b/coordination/leveler/plan_test.go
@@ -20,6 +20,7 @@
 var (
 	small = shape{sets: 4, experts: 72, ranks: 12, places: 8, spare: 3}
 	large = shape{sets: 8, experts: 252, ranks: 63, places: 5, spare: 2}
+	huge  = shape{sets: 16, experts: 258, ranks: 129, places: 3, spare: 2}
 )
 
 func (s shape) bounds() leveler.Bounds {
@@ -65,7 +66,7 @@
 }
 
 func TestProposeLevelsWithinBounds(t *testing.T) {
-	for name, s := range map[string]shape{"small": small, "large": large} {
+	for name, s := range map[string]shape{"small": small, "large": large, "huge": huge} {
 		t.Run(name, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 1))
 			layout := leveler.InitialLayout(s.sets, s.experts, s.ranks)
@@ -93,6 +94,25 @@
 	}
 }
 
+// TestProposeLevelsLargeGroups plans from the first layout where copies cost nothing: a group of any size is levelled as
+// far as a group of 8 ranks.
+func TestProposeLevelsLargeGroups(t *testing.T) {
+	for name, s := range map[string]shape{"small": small, "large": large, "huge": huge} {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 4))
+			layout := leveler.InitialLayout(s.sets, s.experts, s.ranks)
+			d := leveler.NewDemand(s.sets, s.experts).WithWindow(s.skewed(random), 150*time.Millisecond)
+			bounds := s.bounds()
+			bounds.Weight, bounds.CopyTime = 1, 0
+			p, ok := leveler.Propose(layout, d, bounds)
+			if !ok || p.After > 1.2 {
+				t.Errorf("skew %.3f", p.After)
+			}
+			requireValid(t, s, layout, p.Layout)
+		})
+	}
+}
+
 func TestProposeIgnoresNoise(t *testing.T) {
 	random := rand.New(rand.NewPCG(seed, 2))
 	layout := leveler.InitialLayout(small.sets, small.experts, small.ranks)
@@ -121,7 +141,10 @@
 }
 
 func BenchmarkPropose(b *testing.B) {
-	for _, s := range []shape{small, large, {sets: 58, experts: 64, ranks: 64, places: 2, spare: 1}} {
+	for _, s := range []shape{
+		{sets: 6, experts: 64, ranks: 8, places: 11, spare: 4}, small, {sets: 12, experts: 128, ranks: 32, places: 5, spare: 2}, large,
+		{sets: 58, experts: 64, ranks: 64, places: 2, spare: 1}, huge, {sets: 58, experts: 256, ranks: 512, places: 3, spare: 2},
+	} {
 		b.Run(fmt.Sprintf("%dx%dx%d", s.sets, s.experts, s.ranks), func(b *testing.B) {
 			random := rand.New(rand.NewPCG(seed, 3))
 			layout := leveler.InitialLayout(s.sets, s.experts, s.ranks)
