conduit, eventer: Bound answers that never end

A runner in trouble may send bytes that are no answer for ever. The head of an answer was read without a limit, and so was a line of an event, until the process ran out of memory. Heads are now limited to 64 KiB, and an event is dropped at 1 MiB wherever it is in its lines. An event without a field, such as a comment, is told apart, so that it is not taken for progress of a stream.

--- a/protocol/eventer/eventer.go
+++ b/protocol/eventer/eventer.go
@@ -6,6 +6,8 @@
 	"io"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/kingcupstile/kingcupstile/state/fault"
 )
 
@@ -27,13 +29,15 @@
 // Error tells why there is no next event.
 type Error = fault.Error[Kind]
 
-// MaxEventBytes is the largest size of one event in bytes; it is checked after each line.
+// MaxEventBytes is the largest size of one event in bytes; no more is kept of one that never ends.
 const MaxEventBytes = 1 << 20
 
 // Event is one whole event.
 type Event struct {
 	// ID is the last integer in an id field of the event, 0 if it has none.
 	ID int64
+	// HasFields says that the event has a field; one without is only a comment, or a blank line.
+	HasFields bool
 	// Data is the event's text as received, with the blank line that ends it.
 	Data []byte
 }
@@ -52,25 +56,36 @@
 // Next returns the next event once all of it was received, or an Error.
 func (r *Reader) Next() (Event, error) {
 	var e Event
+	start := 0
 	for {
-		line, err := r.source.ReadBytes('\n')
-		e.Data = append(e.Data, line...)
+		part, err := r.source.ReadSlice('\n')
+		e.Data = append(e.Data, part...)
 		switch {
-		case err != nil:
-			return Event{}, endError(err, e.Data)
 		case len(e.Data) > MaxEventBytes:
 			return Event{}, fault.New("read event", KindTooLarge, nil)
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
+			return Event{}, endError(err, e.Data)
 		}
-		field := bytes.TrimRight(line, "\r\n")
+		field := bytes.TrimRight(e.Data[start:], "\r\n")
+		start = len(e.Data)
 		if len(field) == 0 {
 			return e, nil
 		}
-		if id, ok := bytes.CutPrefix(field, []byte("id:")); ok {
-			if n, err := strconv.ParseInt(string(bytes.TrimSpace(id)), 10, 64); err == nil {
-				e.ID = n
-			}
+		e = e.withField(field)
+	}
+}
+
+// withField returns the event with what a line of it says.
+func (e Event) withField(line []byte) Event {
+	e.HasFields = e.HasFields || line[0] != ':'
+	if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		if n, err := strconv.ParseInt(string(bytes.TrimSpace(id)), 10, 64); err == nil {
+			e.ID = n
 		}
 	}
+	return e
 }
 
 // endError returns the Error for a stream that ended with err after data, the first bytes of an event.
--- a/protocol/eventer/eventer_test.go
+++ b/protocol/eventer/eventer_test.go
@@ -54,7 +54,47 @@
 
 func (failingReader) Read([]byte) (int, error) { return 0, errors.New("reset") }
 
+// endless gives bytes for ever and counts them.
+type endless struct {
+	text string
+	n    int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		n += copy(p[n:], e.text)
+	}
+	e.n += n
+	return n, nil
+}
+
+// TestEndlessEventIsBounded reads bytes without end that never make up an event: with lines and without.
+func TestEndlessEventIsBounded(t *testing.T) {
+	for _, text := range []string{"x", "data: x\n", ":\n"} {
+		source := &endless{text: text}
+		if _, err := eventer.New(source).Next(); fault.KindOf[eventer.Kind](err) != eventer.KindTooLarge {
+			t.Errorf("%q: %v", text, err)
+		}
+		if source.n > 2*eventer.MaxEventBytes {
+			t.Errorf("%q: read %d bytes", text, source.n)
+		}
+	}
+}
+
+// TestCommentsHaveNoFields tells what a runner sends only to keep a connection open from the events of an answer.
+func TestCommentsHaveNoFields(t *testing.T) {
+	r := eventer.New(strings.NewReader(": still here\n\n\nid: 3\n\n: note\ndata: x\n\n"))
+	for i, want := range []bool{false, false, true, true} {
+		if e, err := r.Next(); err != nil || e.HasFields != want {
+			t.Errorf("event %d: %+v, %v", i, e, err)
+		}
+	}
+}
+
 func FuzzNext(f *testing.F) {
+	f.Add([]byte(strings.Repeat("data: endless ", 1<<13)))
+	f.Add([]byte(strings.Repeat(":\n", 1<<12)))
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2"))
 	f.Add([]byte("id:\n\n\n\nid: 99999999999999999999\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
--- a/transport/conduit/conduit.go
+++ b/transport/conduit/conduit.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -38,6 +39,8 @@
 	DialTimeout = 400 * time.Millisecond
 	// ackTimeout is how long sent data may stay unacknowledged by the peer's kernel before the connection is closed.
 	ackTimeout = 1200 * time.Millisecond
+	// maxHeadBytes limits how much of the head of an answer is read; runners' heads are a few hundred bytes.
+	maxHeadBytes = 64 << 10
 )
 
 // Request is an HTTP request to a runner, with its whole body.
@@ -85,7 +88,7 @@
 		partial = true
 	}
 	//nolint:bodyclose // closing the connection ends the body, which holds nothing else
-	x.answer, err = http.ReadResponse(bufio.NewReader(connection), &http.Request{Method: r.Method})
+	x.answer, err = readHead(connection, r.Method)
 	if err == nil && x.answer.StatusCode < http.StatusOK {
 		err = errors.Newf("informational status %d instead of a final answer", x.answer.StatusCode)
 	}
@@ -96,6 +99,17 @@
 	return x, nil
 }
 
+// readHead reads the head of an answer, of at most maxHeadBytes; its body may be of any length.
+func readHead(connection io.Reader, method string) (*http.Response, error) {
+	limited := &io.LimitedReader{R: connection, N: maxHeadBytes}
+	answer, err := http.ReadResponse(bufio.NewReader(limited), &http.Request{Method: method})
+	if limited.N <= 0 {
+		return nil, errors.Newf("head exceeds the limit of %d bytes", maxHeadBytes)
+	}
+	limited.N = math.MaxInt64
+	return answer, err
+}
+
 // IsClosedByPeer reports whether an error says that the peer closed or reset the connection before the answer was
 // complete.
 func IsClosedByPeer(err error) bool {
--- /dev/null
+++ b/transport/conduit/conduit_test.go
@@ -0,0 +1,111 @@
+package conduit_test
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kingcupstile/kingcupstile/state/fault"
+	"github.com/kingcupstile/kingcupstile/transport/conduit"
+)
+
+// serve answers one connection with a head and then repeats some text until the client closes the connection. It returns
+// its address and what receives the number of bytes sent.
+func serve(t *testing.T, head, repeated string) (string, <-chan int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	sent := make(chan int, 1)
+	go func() {
+		connection, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = connection.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(connection)); err != nil {
+			return
+		}
+		n, _ := io.WriteString(connection, head)
+		text := []byte(strings.Repeat(repeated, 1+4096/max(1, len(repeated))))
+		for repeated != "" {
+			more, err := connection.Write(text)
+			n += more
+			if err != nil {
+				break
+			}
+		}
+		sent <- n
+	}()
+	return l.Addr().String(), sent
+}
+
+// TestEndlessHeads has runners send bytes without end that are no answer, or a head without an end: the request counts as
+// cut, little is read, and the connection is closed.
+func TestEndlessHeads(t *testing.T) {
+	for name, test := range map[string]struct{ head, repeated string }{
+		"no answer":         {"", "\x00garbage"},
+		"one long line":     {"HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		"many header lines": {"HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"},
+		"blank lines":       {"", "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, sent := serve(t, test.head, test.repeated)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			x, err := conduit.Send(t.Context(), address, conduit.Request{Method: "GET", Target: "/", Host: "h"})
+			runtime.ReadMemStats(&after)
+			if x != nil || fault.KindOf[conduit.Kind](err) != conduit.KindCut {
+				t.Fatalf("got %v, %v", x, err)
+			}
+			if used := after.TotalAlloc - before.TotalAlloc; used > 4<<20 {
+				t.Errorf("%d bytes allocated", used)
+			}
+			select {
+			case <-sent:
+			case <-time.After(10 * time.Second):
+				t.Error("the connection stays open")
+			}
+		})
+	}
+}
+
+// TestEndlessBody reads an answer whose body never ends: up to the limit and no further.
+func TestEndlessBody(t *testing.T) {
+	address, sent := serve(t, "HTTP/1.1 200 OK\r\n\r\n", "x")
+	x, err := conduit.Send(t.Context(), address, conduit.Request{Method: "GET", Target: "/", Host: "h"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := x.ReadAll(1 << 20); fault.KindOf[conduit.Kind](err) != conduit.KindCut {
+		t.Errorf("got %v", err)
+	}
+	x.Close()
+	select {
+	case <-sent:
+	case <-time.After(10 * time.Second):
+		t.Error("the connection stays open")
+	}
+}
+
+// TestLongBodyAfterTheHead has a body that is longer than heads may be: the limit of heads does not apply to it.
+func TestLongBodyAfterTheHead(t *testing.T) {
+	body := strings.Repeat("y", 200<<10)
+	address, _ := serve(t, "HTTP/1.1 200 OK\r\nContent-Length: 204800\r\n\r\n"+body, "")
+	x, err := conduit.Send(t.Context(), address, conduit.Request{Method: "GET", Target: "/", Host: "h"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer x.Close()
+	if got, err := x.ReadAll(1 << 20); err != nil || !bytes.Equal(got, []byte(body)) {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+}
