--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -118,6 +118,14 @@
 	d.store.Put("servers", id, map[string]any{"service": service, "addr": address, "zone": "z", "slots": 4, "state": state})
 }
 
+// moveAway registers a runner in another data centre than the entry's, and waits until the entry knows: runners in its own
+// are tried first.
+func (d *deployment) moveAway(id, service string) {
+	d.t.Helper()
+	d.store.Put("servers", id, map[string]any{"service": service, "addr": d.addresses[id], "zone": "far", "slots": 4, "state": "ready"})
+	time.Sleep(time.Second)
+}
+
 // configure writes a configuration whose account has the given keys.
 func (d *deployment) configure(keys ...string) {
 	d.version += 3
@@ -321,8 +329,11 @@
 	}
 }
 
+// TestStreamIsResumedElsewhere has the runner in the entry's own data centre, which is tried first, fail in the middle of
+// its streams.
 func TestStreamIsResumedElsewhere(t *testing.T) {
 	d := newDeployment(t)
+	d.moveAway("pool-b", "pool")
 	d.runners["pool-a"].SetFault(site.FaultTruncated)
 	for range 6 {
 		a := d.call(http.MethodPost, "/draft/x", "", nil)
@@ -352,11 +363,7 @@
 	for _, fault := range []site.Fault{site.FaultError, site.FaultShed, site.FaultUnsealed} {
 		t.Run(string(fault), func(t *testing.T) {
 			d := newDeployment(t)
-			// The runner in the entry's own data centre is tried first.
-			d.store.Put("servers", "pool-b", map[string]any{
-				"service": "pool", "addr": d.addresses["pool-b"], "zone": "far", "slots": 4, "state": "ready",
-			})
-			time.Sleep(time.Second)
+			d.moveAway("pool-b", "pool")
 			d.runners["pool-a"].SetFault(site.FaultTruncated)
 			d.runners["pool-b"].SetFault(fault)
 			a := d.call(http.MethodPost, "/draft/x", "", nil)
