--- a/coordination/conductor/advance.go
+++ b/coordination/conductor/advance.go
@@ -119,7 +119,11 @@
 		return s.abandon(members, now)
 	}
 	if at := max(first.Step, holding.Step); s.heldStep <= at {
-		s.heldStep = max(at+holdAheadSteps, s.nextHold)
+		ahead := uint64(holdAheadSteps)
+		if len(members) >= minBatch {
+			ahead++
+		}
+		s.heldStep = max(at+ahead, s.nextHold)
 		s.nextHold = s.heldStep + 1
 	}
 	return s.sendOrder(holder(members), rank.VerbHold, now, nil)
--- a/coordination/conductor/state.go
+++ b/coordination/conductor/state.go
@@ -24,7 +24,7 @@
 
 const (
 	// holdAheadSteps is how many steps after the current one the held step is, so that all ranks can be armed before
-	// it is due.
+	// it is due. In a group whose orders are passed on, it is one more.
 	holdAheadSteps = 2
 	// activePollInterval is the time between two reports of a rank that a switch waits for.
 	activePollInterval = 40 * time.Millisecond
--- a/coordination/conductor/step.go
+++ b/coordination/conductor/step.go
@@ -127,7 +127,7 @@
 	if leading && s.layout == nil {
 		s, effects = s.fetchLayout(now, effects)
 	}
-	if leading && now-s.countsAt >= s.countsInterval() {
+	if leading && now-s.countsAt >= s.countsInterval() && !s.isHolding() {
 		s, more = s.planAndCount(now)
 		effects = append(effects, more...)
 	}
@@ -261,11 +261,18 @@
 		return s, nil
 	}
 	s.countsAt = now
-	var plan []Effect
-	if s.phase == PhaseIdle {
-		s, plan = s.requestPlan(now)
+	fetch := FetchDemand{Runners: members}
+	if s.phase != PhaseIdle {
+		return s, []Effect{fetch}
 	}
-	return s, append(plan, FetchDemand{Runners: members})
+	s, effects := s.requestPlan(now)
+	return s, append(effects, fetch)
+}
+
+// isHolding reports whether a step is or may be held, in which case the ranks' answers must not wait on the link behind
+// counts.
+func (s State) isHolding() bool {
+	return s.phase == PhaseHolding || s.phase == PhaseArming || s.phase == PhaseReleasing
 }
 
 // countsInterval returns the time between two requests for expert counts.
--- a/coordination/follower/follower.go
+++ b/coordination/follower/follower.go
@@ -17,8 +17,6 @@
 	// DefaultWatchWait is how long the store holds a watch open. As the age of what a watch returns counts from when
 	// the watch was sent, it never exceeds two such waits while watches follow each other.
 	DefaultWatchWait = 900 * time.Millisecond
-	// parkInterval is how long a follower without a watch waits before it asks again whether it should watch.
-	parkInterval = 500 * time.Millisecond
 	// refreshWait is the wait of the watch after Refresh, whose answer is needed at once.
 	refreshWait = 10 * time.Millisecond
 	// batchDelay is the pause before the next watch after a change, before jitter. It batches changes, as each watch
@@ -58,8 +56,7 @@
 // Option sets a field of a Follower under construction.
 type Option[T any] func(*Follower[T])
 
-// WatchWait sets the function that returns how long the store holds the next watch open. At 0, the follower asks the store
-// nothing until Refresh is called, and asks the function again after parkInterval.
+// WatchWait sets the function that returns how long the store holds the next watch open.
 func WatchWait[T any](wait func() time.Duration) Option[T] {
 	return func(f *Follower[T]) { f.wait = wait }
 }
@@ -120,14 +117,7 @@
 }
 
 func (f *Follower[T]) changes(ctx context.Context, revision uint64) (uint64, error) {
-	wait := f.wait()
-	if wait == 0 {
-		if !f.park(ctx) {
-			return revision, ctx.Err()
-		}
-		wait = refreshWait
-	}
-	c, requestedAt, err := f.watch(ctx, revision, wait)
+	c, requestedAt, err := f.watch(ctx, revision, f.wait())
 	for errors.Is(err, errRefresh) {
 		c, requestedAt, err = f.watch(ctx, revision, refreshWait)
 	}
@@ -141,19 +131,6 @@
 	return c.Revision, nil
 }
 
-// park waits until Refresh is called and reports whether it was, for at most parkInterval.
-func (f *Follower[T]) park(ctx context.Context) bool {
-	timer := time.NewTimer(parkInterval)
-	defer timer.Stop()
-	select {
-	case <-f.refresh:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return false
-}
-
 // errRefresh is returned by a watch that Refresh ended.
 var errRefresh = errors.New("nudged")
 
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -27,7 +27,7 @@
 	minHeartbeatInterval = 200 * time.Millisecond
 	// heartbeatIntervalPerPeer sets the interval in a large deployment, in proportion to the number of other entries,
 	// so that each entry's control traffic does not grow with that number. Entries that are linked send each other more.
-	heartbeatIntervalPerPeer = 15 * time.Millisecond
+	heartbeatIntervalPerPeer = 40 * time.Millisecond
 	// maxDirectEntries is the number of entries up to which all learn all news from each other's heartbeats and from the
 	// store; among more, news travel along the links of package linker.
 	maxDirectEntries = 12
@@ -176,6 +176,9 @@
 
 // HeartbeatInterval returns the interval at which an entry sends heartbeats to each of the others.
 func (s State) HeartbeatInterval() time.Duration {
+	if !s.IsLinked() {
+		return minHeartbeatInterval
+	}
 	return max(minHeartbeatInterval, time.Duration(len(s.peers))*heartbeatIntervalPerPeer)
 }
 
--- a/coordination/overseer/step.go
+++ b/coordination/overseer/step.go
@@ -119,12 +119,17 @@
 		return s, effects
 	}
 	s.retained = maps.Clone(s.retained)
+	registered := 0
 	for _, c := range changes {
 		old, found := s.runners.Runner(c.Name)
 		switch {
 		case !c.Removed && c.Valid:
 			delete(s.retained, c.Name)
 			s.runners = s.runners.WithRunners(c.Item)
+			registered++
+			if registered > maxLoggedRunners {
+				continue
+			}
 			effects = append(effects, Log{Message: "runner registered", Args: []any{
 				"runner", c.Name, "service", c.Item.Service(), "address", c.Item.Address(), "ready", c.Item.IsReady(),
 			}})
@@ -136,9 +141,15 @@
 			effects = append(effects, Log{Message: "runner removed", Args: []any{"runner", c.Name, "service", old.Service()}})
 		}
 	}
+	if registered > maxLoggedRunners {
+		effects = append(effects, Log{Message: "more runners registered", Args: []any{"runners", registered - maxLoggedRunners}})
+	}
 	return s, effects
 }
 
+// maxLoggedRunners bounds the runners that are logged by name when many register at once.
+const maxLoggedRunners = 3
+
 func (s State) withPeerList(list []peer.Peer, at time.Duration) State {
 	peers := make(map[string]entry, len(list))
 	for _, p := range list {
@@ -217,16 +228,15 @@
 		configBehind = configBehind || s.hasTable && b.ConfigVersion > s.table.Version()
 		runnersBehind = runnersBehind || s.hasRunners && b.RunnersRevision > s.runnersAsOf
 	}
-	// Without a watch of its own, an entry has no answer with the newer configuration in flight.
-	configTolerance, runnersTolerance := behindTolerance, behindTolerance
+	tolerance := behindTolerance
 	if s.IsLinked() && !s.IsRelay(at) {
-		configTolerance, runnersTolerance = 0, linkedBehindTolerance
+		tolerance = linkedBehindTolerance
 	}
 	s.configBehindSince = behindSince(s.configBehindSince, configBehind, at)
 	s.runnersBehindSince = behindSince(s.runnersBehindSince, runnersBehind, at)
 	r := Refresh{
-		Config:  configBehind && at-s.configBehindSince >= configTolerance || s.hasTable && s.Age(at) > s.refreshAge(),
-		Runners: runnersBehind && at-s.runnersBehindSince >= runnersTolerance,
+		Config:  configBehind && at-s.configBehindSince >= tolerance || s.hasTable && s.Age(at) > s.refreshAge(),
+		Runners: runnersBehind && at-s.runnersBehindSince >= tolerance,
 	}
 	if r == (Refresh{}) || at-s.refreshedAt < minRefreshInterval {
 		return s, nil
@@ -264,7 +274,7 @@
 		effects = append(effects, Log{Message: "configuration freshness changed", Args: []any{"fresh", fresh, "age", s.Age(at)}})
 	}
 	for name, e := range s.peers {
-		if at-max(e.heardAt, e.listedAt) > deregisterAfter && s.isCleanupLeader(at) {
+		if at-max(e.heardAt, e.listedAt) > max(deregisterAfter, s.heartbeatTimeout()) && s.isCleanupLeader(at) {
 			s.peers = maps.Clone(s.peers)
 			delete(s.peers, name)
 			effects = append(effects, Deregister{Name: name}, Log{Message: "removing registration of silent entry", Args: []any{"entry", name}})
--- a/coordination/placer/probe.go
+++ b/coordination/placer/probe.go
@@ -10,7 +10,10 @@
 
 const (
 	// nearProbes and anyProbes are how many runners of the own data centre, and of all, are probed for one request.
-	nearProbes, anyProbes = 2, 2
+	nearProbes, anyProbes = 3, 1
+	// farWeight is the weight of a runner in another data centre, in open requests. It is more than for runners whose load
+	// is only estimated, but a runner with room is chosen before one in the own data centre that is full.
+	farWeight = 1.5
 	// maxTries bounds the random draws for one of them, as some runners may be leaving.
 	maxTries = 8
 )
@@ -63,7 +66,7 @@
 		load := float64(p.Open) + failureWeight*f*f
 		room := load < float64(allowed(p.Runner))
 		if p.Runner.Centre() != request.Centre {
-			load += otherCentreWeight
+			load += farWeight
 		}
 		load /= float64(p.Runner.Slots())
 		if !found || room && !hasRoom || room == hasRoom && load < lowest {
--- a/coordination/sourcer/sourcer.go
+++ b/coordination/sourcer/sourcer.go
@@ -38,6 +38,7 @@
 		call, cancel := context.WithTimeout(ctx, copySlack)
 		defer cancel()
 		if l, err := copied.List(call); err == nil {
+			l.Unconfirmed = true
 			return l, nil
 		}
 	}
@@ -51,7 +52,7 @@
 		call, cancel := context.WithTimeout(ctx, copyWait+copySlack)
 		defer cancel()
 		c, err := copied.Changes(call, after, min(wait, copyWait))
-		c.Revision = max(c.Revision, after)
+		c.Revision, c.Unconfirmed = max(c.Revision, after), true
 		if err == nil || fault.KindOf[kingcupstile.Kind](err) == kingcupstile.KindExpired || ctx.Err() != nil {
 			return c, err
 		}
--- a/coordination/sourcer/sourcer_test.go
+++ b/coordination/sourcer/sourcer_test.go
@@ -50,6 +50,9 @@
 			store := &feed{revision: 9}
 			f := sourcer.New[string](store, func() (kingcupstile.Feed[string], bool) { return test.near, test.near != nil })
 			c, err := f.Changes(t.Context(), 7, test.wait)
+			if c.Unconfirmed != (test.near != nil && test.storeWait == 0) {
+				t.Errorf("unconfirmed %t", c.Unconfirmed)
+			}
 			if c.Revision != test.revision || fault.KindOf[kingcupstile.Kind](err) != test.kind {
 				t.Errorf("revision %d, %v", c.Revision, err)
 			}
--- a/feed.go
+++ b/feed.go
@@ -11,7 +11,7 @@
 
 // Feed lists and watches all objects of one kind, decoded; it returns the errors of Store, and one of KindExpired.
 type Feed[T any] interface {
-	// List returns all objects as they are at or after the time of the call.
+	// List returns all objects as they are at or after the time of the call or, where it says so, of an earlier time.
 	List(ctx context.Context) (listing.Listing[T], error)
 	// Changes waits for at most the given time for changes after a revision; it returns an Error of KindExpired
 	// if the store no longer keeps them, and the caller must list again.
--- a/state/listing/listing.go
+++ b/state/listing/listing.go
@@ -4,6 +4,8 @@
 type Listing[T any] struct {
 	Items    []T
 	Revision uint64
+	// Unconfirmed says that the objects come from a copy, which may be older than the call.
+	Unconfirmed bool
 }
 
 // Change is a change of one object.
@@ -23,4 +25,6 @@
 type Changes[T any] struct {
 	Items    []Change[T]
 	Revision uint64
+	// Unconfirmed says that the changes come from a copy, which may lack others that were made before the call.
+	Unconfirmed bool
 }
--- a/transport/beater/beater.go
+++ b/transport/beater/beater.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger"
 	"github.com/kingcupstile/kingcupstile/state/peer"
 )
@@ -13,6 +14,8 @@
 const (
 	// maxDatagramSize is the size in bytes of the buffer for a received datagram.
 	maxDatagramSize = 64 << 10
+	// readErrorPause is the pause after a failed read, so that a lasting error does not take the processor.
+	readErrorPause = 50 * time.Millisecond
 )
 
 // Beater sends and receives heartbeats on one UDP socket.
@@ -67,10 +70,11 @@
 	for {
 		n, _, err := b.socket.ReadFrom(buffer)
 		if err != nil {
-			if ctx.Err() == nil {
-				b.log.Warn("reading heartbeats failed; none are received until the process is restarted", "error", err)
+			if !pauser.Wait(ctx, readErrorPause) {
+				return
 			}
-			return
+			b.log.Warn("reading heartbeats failed; reading on", "error", err)
+			continue
 		}
 		heartbeat, err := messenger.DecodeEntryHeartbeat(buffer[:n])
 		if err != nil {
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kingcupstile/kingcupstile/coordination/dispatcher"
+	"github.com/kingcupstile/kingcupstile/coordination/overseer"
 	"github.com/kingcupstile/kingcupstile/coordination/pacer"
 	"github.com/kingcupstile/kingcupstile/state/attempt"
 	"github.com/kingcupstile/kingcupstile/state/demand"
@@ -73,42 +74,31 @@
 	}
 }
 
-// send sends the first attempt, or another one if the configuration and the budget for retries allow it.
+// send sends the first attempt, or another one if the configuration and the budget for retries allow it. What allows it
+// is checked after a runner was chosen, as that may take a while, or long if the process is paused.
 func (x *exchange) send(ctx context.Context, reason string) dispatcher.Event {
 	x.closeCall()
-	f, now := x.forwarder, x.forwarder.clock.Now()
-	state := f.snapshot()
-	if _, denied := authorize(state, x.request, now); denied != nil {
-		x.denied = denied
-		return dispatcher.SendDenied{Reason: denied.reason}
-	}
-	if state.HasCrashes() {
-		if until, refused := state.RefusedUntil(x.fingerprint()); refused {
-			x.denied = &refusal{status: http.StatusServiceUnavailable, reason: reasonCrashes, retryAfter: until - now}
-			return dispatcher.SendDenied{Reason: reasonCrashes}
-		}
+	f := x.forwarder
+	chosen, room := x.place(ctx)
+	state, now := f.snapshot(), f.clock.Now()
+	if x.denied = x.denial(state, now); x.denied != nil {
+		return dispatcher.SendDenied{Reason: x.denied.reason}
 	}
 	remaining := x.timeout - (now - x.arrivedAt)
-	if ctx.Err() != nil || remaining <= 0 {
+	switch {
+	case ctx.Err() != nil || remaining <= 0:
 		return dispatcher.DeadlineExceeded{}
-	}
-	if x.dispatch.Number() > 1 && !f.retrier.Allow(x.service, reason) {
-		return dispatcher.SendDenied{Reason: reason}
-	}
-	chosen, room := x.place(ctx, state, now)
-	switch room {
-	case roomNone:
+	case room == roomNone:
 		return dispatcher.NoEndpointLeft{}
-	case roomFull:
-		pressure := x.gate.RecordRequest(true, f.clock.Now())
+	case room == roomFull:
+		pressure := x.gate.RecordRequest(true, now)
 		x.denied = &refusal{status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: pressure.RetryAfter(rand.Float64())}
 		return dispatcher.SendDenied{Reason: reasonFull}
 	}
-	if remaining = x.timeout - (f.clock.Now() - x.arrivedAt); ctx.Err() != nil || remaining <= 0 {
-		return dispatcher.DeadlineExceeded{}
-	}
 	if x.dispatch.Number() == 1 {
-		x.gate.RecordRequest(false, f.clock.Now())
+		x.gate.RecordRequest(false, now)
+	} else if !f.retrier.Allow(x.service, reason) {
+		return dispatcher.SendDenied{Reason: reason}
 	}
 	if x.dispatch.Number() > 1 {
 		f.log.Info("retrying request at another runner", "request", x.request.ID, "attempt", x.dispatch.Number(), "reason", reason,
@@ -119,6 +109,19 @@
 	return x.call.open(ctx)
 }
 
+// denial returns why the request must not be sent to a runner now, nil if it may.
+func (x *exchange) denial(state overseer.State, now time.Duration) *refusal {
+	if _, denied := authorize(state, x.request, now); denied != nil {
+		return denied
+	}
+	if state.HasCrashes() {
+		if until, refused := state.RefusedUntil(x.fingerprint()); refused {
+			return &refusal{status: http.StatusServiceUnavailable, reason: reasonCrashes, retryAfter: until - now}
+		}
+	}
+	return nil
+}
+
 // fingerprint identifies requests of one account to one service with the same method, target and body.
 func (x *exchange) fingerprint() suspect.Fingerprint {
 	return suspect.Identify(x.service+" "+x.access.account.Name(), x.httpRequest.Method, x.httpRequest.RequestURI, x.body)
--- /dev/null
+++ b/transport/forwarder/forwarder_test.go
@@ -0,0 +1,240 @@
+package forwarder_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kingcupstile/kingcupstile/coordination/overseer"
+	"github.com/kingcupstile/kingcupstile/platform"
+	"github.com/kingcupstile/kingcupstile/standin/site"
+	"github.com/kingcupstile/kingcupstile/state/peer"
+	"github.com/kingcupstile/kingcupstile/state/routing"
+	"github.com/kingcupstile/kingcupstile/state/runner"
+	"github.com/kingcupstile/kingcupstile/transport/forwarder"
+)
+
+const (
+	key     = "key-1"
+	slots   = 4
+	entries = 40
+	target  = 400 * time.Millisecond
+)
+
+// world is one of many entries with stand-ins for the runners, and for the processes beside them.
+type world struct {
+	t       *testing.T
+	mu      sync.Mutex
+	state   overseer.State
+	skipped time.Duration
+	start   time.Time
+	runners map[string]*site.Runner
+	// open is the load that probes report by address; unlisted runners do not answer.
+	open map[string]int
+	// announced counts the announcements by address, and probes the rounds of probes.
+	announced map[string]int
+	probes    int
+	// onProbe is called during each probe.
+	onProbe   func()
+	forwarder *forwarder.Forwarder
+	address   map[string]string
+}
+
+func newWorld(t *testing.T, count int) *world {
+	t.Helper()
+	w := &world{
+		t: t, start: time.Now().Add(-time.Minute), runners: map[string]*site.Runner{}, open: map[string]int{}, announced: map[string]int{},
+		address: map[string]string{}, onProbe: func() {},
+	}
+	w.state = overseer.New(peer.Peer{Name: "e-00", Start: 1, Centre: "z"}, overseer.MaxStaleness(3*time.Second))
+	peers := make([]peer.Peer, 0, entries-1)
+	for n := range entries - 1 {
+		peers = append(peers, peer.Peer{Name: fmt.Sprintf("e-%02d", n+1), Start: 1})
+	}
+	now := w.Now()
+	w.apply(overseer.PeersListed{Peers: peers, At: now})
+	for _, p := range peers {
+		w.apply(overseer.HeartbeatReceived{Heartbeat: peer.Heartbeat{Name: p.Name, Start: 1, Ready: true}, At: now})
+	}
+	list := make([]runner.Runner, 0, count)
+	for n := range count {
+		id := fmt.Sprint("pool-", n)
+		r := site.NewRunner(id)
+		server := httptest.NewServer(r)
+		t.Cleanup(server.Close)
+		w.runners[id], w.address[id] = r, server.Listener.Addr().String()
+		w.open[w.address[id]] = 0
+		list = append(list, runner.New(id, "pool", w.address[id], runner.Centre("z"), runner.Slots(slots)))
+	}
+	w.apply(overseer.RunnersListed{Runners: list, At: now})
+	w.configure(1, key)
+	w.forwarder = forwarder.New(w.snapshot, w, platform.Dialect{}, forwarder.Probes(w))
+	return w
+}
+
+func (w *world) configure(version uint64, keys ...string) {
+	route := routing.NewRoute("draft", "h.example", "/draft/", routing.RepeatStream, routing.LatencyTarget(target), routing.Attempts(2),
+		routing.MaxEventGap(time.Second), routing.Timeout(5*time.Second), routing.Shares(routing.Share{Service: "pool", Weight: 1}))
+	service := routing.NewService("pool", 0, routing.Engine{Slots: slots, Sets: 2, Experts: 8, StepTime: time.Millisecond, StepsPerPass: 4})
+	w.apply(overseer.ConfigReceived{RequestedAt: w.Now(), Table: routing.NewTable(version, routing.Routes(route), routing.Services(service),
+		routing.RequireKeys(), routing.Keys(routing.NewAccount("account-1"), keys...))})
+}
+
+func (w *world) apply(e overseer.Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state, _ = overseer.Step(w.state, e)
+}
+
+func (w *world) snapshot() overseer.State {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state
+}
+
+// Now implements the clock, which runs on while the process is paused.
+func (w *world) Now() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.start) + w.skipped
+}
+
+// pause makes the clock skip some time.
+func (w *world) pause(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.skipped += d
+}
+
+// Probe and Announce implement the prober.
+func (w *world) Probe(_ context.Context, addresses []string, _ time.Duration) map[string]int {
+	w.onProbe()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.probes++
+	open := map[string]int{}
+	for _, a := range addresses {
+		if n, known := w.open[a]; known {
+			open[a] = n
+		}
+	}
+	return open
+}
+
+func (w *world) Announce(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.announced[address]++
+}
+
+// setOpen sets the load that probes report of all runners.
+func (w *world) setOpen(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for a := range w.open {
+		w.open[a] = n
+	}
+}
+
+func (w *world) call() *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "/draft/x", strings.NewReader("slip"))
+	r.Host = "h.example"
+	r.Header.Set("X-Request-Id", "request-1")
+	r.Header.Set("Authorization", "Token "+key)
+	answer := httptest.NewRecorder()
+	w.forwarder.ServeHTTP(answer, r)
+	return answer
+}
+
+func (w *world) runs() int {
+	n := 0
+	for _, r := range w.runners {
+		n += len(r.Runs())
+	}
+	return n
+}
+
+// TestRoomIsKnownWhereItIs has one runner with room among full ones: requests find it although the entry itself knows
+// nothing of the others' work, and announce themselves.
+func TestRoomIsKnownWhereItIs(t *testing.T) {
+	w := newWorld(t, 5)
+	w.setOpen(slots)
+	free := w.address["pool-3"]
+	w.open[free] = slots - 1
+	for range 10 {
+		if a := w.call(); a.Code != http.StatusOK {
+			t.Fatalf("status %d: %s", a.Code, a.Body)
+		}
+	}
+	if got := len(w.runners["pool-3"].Runs()); got != 10 || w.announced[free] != 10 {
+		t.Errorf("%d of 10 requests ran at the runner with room, %d were announced", got, w.announced[free])
+	}
+}
+
+// TestNoRoomIsRefusedEarly has all runners full: the request waits for an eighth of the latency target at most, is
+// refused with a time to return, and has not run. One that finds room while it waits is served.
+func TestNoRoomIsRefusedEarly(t *testing.T) {
+	w := newWorld(t, 5)
+	w.setOpen(slots)
+	start := time.Now()
+	a := w.call()
+	if took := time.Since(start); a.Code != http.StatusServiceUnavailable || a.Header().Get("Retry-After") == "" || took > target/4 {
+		t.Errorf("status %d after %v, headers %v", a.Code, took, a.Header())
+	}
+	if w.runs() != 0 || len(w.announced) != 0 || w.probes < 2 {
+		t.Errorf("%d ran, %d announced, %d rounds of probes", w.runs(), len(w.announced), w.probes)
+	}
+	w.onProbe = func() {
+		if w.probes == 1 {
+			w.setOpen(1)
+		}
+	}
+	w.probes = 0
+	if a := w.call(); a.Code != http.StatusOK {
+		t.Errorf("status %d although room came up", a.Code)
+	}
+}
+
+// TestUnansweredProbesRefuseNobody has no process beside the runners answer.
+func TestUnansweredProbesRefuseNobody(t *testing.T) {
+	w := newWorld(t, 3)
+	clear(w.open)
+	for range 5 {
+		if a := w.call(); a.Code != http.StatusOK {
+			t.Fatalf("status %d: %s", a.Code, a.Body)
+		}
+	}
+}
+
+// TestWhatChangesDuringAProbe covers a process that is paused while it probes, a key that is taken away meanwhile, and
+// runners that begin to drain: the request must not be sent by what held before.
+func TestWhatChangesDuringAProbe(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(w *world)
+		status int
+	}{
+		"paused beyond the trust in keys": {func(w *world) { w.pause(4 * time.Second) }, http.StatusServiceUnavailable},
+		"key taken away":                  {func(w *world) { w.configure(2, "another-key") }, http.StatusUnauthorized},
+		"paused beyond the request's end": {func(w *world) { w.pause(6 * time.Second); w.configure(2, key) }, http.StatusServiceUnavailable},
+		"runners drain": {func(w *world) {
+			list := make([]runner.Runner, 0, len(w.runners))
+			for id := range w.runners {
+				list = append(list, runner.New(id, "pool", w.address[id], runner.Centre("z"), runner.Slots(slots), runner.InState(runner.StateLeaving)))
+			}
+			w.apply(overseer.RunnersListed{Runners: list, At: w.Now()})
+		}, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			w.onProbe = sync.OnceFunc(func() { test.change(w) })
+			if a := w.call(); a.Code != test.status || w.runs() != 0 {
+				t.Errorf("status %d after %d runs, want %d", a.Code, w.runs(), test.status)
+			}
+		})
+	}
+}
--- a/transport/forwarder/place.go
+++ b/transport/forwarder/place.go
@@ -33,22 +33,28 @@
 
 // place chooses the runner for the next attempt. The first attempt of a request waits a while for room where the load of
 // runners is probed; later ones go to the least loaded runner, as what was begun is finished first.
-func (x *exchange) place(ctx context.Context, state overseer.State, now time.Duration) (runner.Runner, room) {
+func (x *exchange) place(ctx context.Context) (runner.Runner, room) {
 	f := x.forwarder
-	heartbeats := state.Heartbeats(now)
-	view := f.tracker.View(heartbeats, now)
-	runners := state.Runners().OfService(x.service)
-	request := placer.Request{Centre: state.Self().Centre, Avoid: x.dispatch.Avoid()}
-	if f.prober == nil || !f.isProbed(state, x.service, len(heartbeats)+1) {
-		return placed(view.Place(runners, request))
-	}
 	until := x.arrivedAt + x.access.route.LatencyTarget()/waitDivisor
 	for {
+		state, now := f.snapshot(), f.clock.Now()
+		heartbeats := state.Heartbeats(now)
+		view := f.tracker.View(heartbeats, now)
+		runners := state.Runners().OfService(x.service)
+		request := placer.Request{Centre: state.Self().Centre, Avoid: x.dispatch.Avoid()}
+		if f.prober == nil || !f.isProbed(state, x.service, len(heartbeats)+1) {
+			return placed(view.Place(runners, request))
+		}
 		best, hasRoom, known := x.probe(ctx, view, runners, request)
 		switch {
 		case !known:
 			// Nothing is known of the load, which is no reason to refuse.
 			return placed(view.Place(runners, request))
+		case !f.takesWork(best):
+			// The runner began to drain while the probe was under way.
+			if ctx.Err() != nil {
+				return best, roomNone
+			}
 		case hasRoom || x.dispatch.Number() > 1:
 			f.prober.Announce(best.Address())
 			return best, roomFound
@@ -58,6 +64,12 @@
 	}
 }
 
+// takesWork reports whether a runner is registered and takes new work now.
+func (f *Forwarder) takesWork(r runner.Runner) bool {
+	registered, found := f.snapshot().Runners().Runner(r.ID())
+	return found && registered.IsReady()
+}
+
 // placed returns the result of choosing a runner without knowing its room.
 func placed(r runner.Runner, found bool) (runner.Runner, room) {
 	if !found {
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -58,6 +58,7 @@
 
 // Copies are the feeds of another entry's copies of what the store holds.
 type Copies struct {
+	Config  kingcupstile.Feed[routing.Table]
 	Runners kingcupstile.Feed[runner.Runner]
 	Entries kingcupstile.Feed[peer.Peer]
 }
@@ -131,7 +132,8 @@
 		forwarder.Retries(retrier.New(retrier.BurstFunc(g.retryBurst)), retryRatioShare*g.settings.RetryRatio),
 		forwarder.Probes(probes),
 	)
-	g.config = follower.New(g.platform.Config, g.platform.Clock, configSink{g}, follower.WatchWait[routing.Table](g.configWait))
+	config := sourcer.New(g.platform.Config, nearby(g, func(c Copies) kingcupstile.Feed[routing.Table] { return c.Config }))
+	g.config = follower.New(config, g.platform.Clock, configSink{g}, follower.WatchWait[routing.Table](g.configWait))
 	runners := sourcer.New(g.platform.Runners, nearby(g, func(c Copies) kingcupstile.Feed[runner.Runner] { return c.Runners }))
 	g.runners = follower.New(runners, g.platform.Clock, runnerSink{g}, follower.WatchWait[runner.Runner](g.runnersWait))
 	go g.loop.Run(control)
--- a/transport/gateway/sinks.go
+++ b/transport/gateway/sinks.go
@@ -23,19 +23,15 @@
 	linkedWatchShare = 0.17
 )
 
-// configWait returns how long the next watch of the configuration may wait, and 0 if this entry needs none, as it learns
-// from the entries that it is linked to when to read the configuration.
+// configWait returns how long the next watch of the configuration may wait.
 func (g *Gateway) configWait() time.Duration {
 	state, now := g.loop.Snapshot(), g.platform.Clock.Now()
 	share := relayWatchShare
 	if state.IsLinked() {
 		share = linkedWatchShare
 	}
-	switch {
-	case state.IsRelay(now):
+	if state.IsRelay(now) {
 		return min(follower.DefaultWatchWait, time.Duration(share*float64(g.settings.MaxKeyAge())))
-	case state.IsLinked():
-		return 0
 	}
 	return longWatchWait
 }
@@ -53,19 +49,25 @@
 
 // Listed passes on the configuration.
 func (s configSink) Listed(l listing.Listing[routing.Table], asked time.Duration) {
+	if l.Unconfirmed {
+		asked = 0
+	}
 	for _, t := range l.Items {
 		s.send(overseer.ConfigReceived{Table: t, RequestedAt: asked})
 	}
 }
 
-// Changed passes on a new configuration; no change at all confirms the one in force.
+// Changed passes on a new configuration; no change at all in the store confirms the one in force.
 func (s configSink) Changed(c listing.Changes[routing.Table], asked time.Duration) {
+	if c.Unconfirmed {
+		asked = 0
+	}
 	for _, change := range c.Items {
 		if change.Valid && !change.Removed {
 			s.send(overseer.ConfigReceived{Table: change.Item, RequestedAt: asked})
 		}
 	}
-	if len(c.Items) == 0 {
+	if len(c.Items) == 0 && !c.Unconfirmed {
 		s.send(overseer.ConfigConfirmed{RequestedAt: asked})
 	}
 }
--- a/transport/ranker/group.go
+++ b/transport/ranker/group.go
@@ -205,16 +205,15 @@
 		wait.Go(func() {
 			call, cancel := context.WithTimeout(ctx, g.partTimeout(""))
 			defer cancel()
-			sum := g.gatherPart(call, part)
-			if sum.GetRanks() > 0 {
-				deliver(rank.Counts{Epoch: sum.GetEpoch(), Counts: sum.GetCounts()})
+			if sum := g.gatherPart(call, part); sum.ranks > 0 {
+				deliver(sum.counts)
 			}
 		})
 	}
 	wait.Wait()
 }
 
-func (g *Group) gatherPart(ctx context.Context, part []Target) *wire.RankSum {
+func (g *Group) gatherPart(ctx context.Context, part []Target) sum {
 	if part[0].Address == g.self {
 		return g.tally.take(ctx, g.own)
 	}
@@ -222,13 +221,7 @@
 	for _, t := range part[1:] {
 		rest = append(rest, t.Address)
 	}
-	c := g.client(part[0].Address)
-	sum, err := c.sidecar.Gather(ctx, &wire.RankGather{Addresses: rest})
-	if err != nil {
-		c.isUnanswered(err)
-		return nil
-	}
-	return sum
+	return g.client(part[0].Address).gather(ctx, rest)
 }
 
 // parts divides targets into parts that are each called through the first of them: the own rank by itself, and the
--- a/transport/ranker/relay.go
+++ b/transport/ranker/relay.go
@@ -87,42 +87,63 @@
 func (s server) Gather(ctx context.Context, m *wire.RankGather) (*wire.RankSum, error) {
 	call, cancel := context.WithTimeout(ctx, s.group.relayTimeout())
 	defer cancel()
-	sums := make([]*wire.RankSum, len(m.GetAddresses())+1)
+	sums := make([]sum, len(m.GetAddresses())+1)
 	var wait sync.WaitGroup
 	wait.Go(func() { sums[0] = s.group.tally.take(call, s.worker) })
 	for i, address := range m.GetAddresses() {
 		wait.Go(func() {
 			member, cancel := context.WithTimeout(call, s.group.timeout)
 			defer cancel()
-			c := s.group.client(address)
-			sum, err := c.sidecar.Gather(member, &wire.RankGather{})
-			if err != nil {
-				c.isUnanswered(err)
-				return
-			}
-			sums[i+1] = sum
+			sums[i+1] = s.group.client(address).gather(member, nil)
 		})
 	}
 	wait.Wait()
-	total := &wire.RankSum{}
-	for _, sum := range sums {
-		addSum(total, sum)
+	var total sum
+	for _, part := range sums {
+		total = total.with(part)
 	}
-	return total, nil
+	answer, err := messenger.EncodeTally(total.counts, total.ranks)
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	return answer, nil
+}
+
+// gather returns the counts of a rank and, through its sidecar, of those at the addresses, nothing if that does not
+// answer.
+func (c *Client) gather(ctx context.Context, addresses []string) sum {
+	m, err := c.sidecar.Gather(ctx, &wire.RankGather{Addresses: addresses})
+	if err != nil {
+		c.isUnanswered(err)
+		return sum{}
+	}
+	counts, ranks, err := messenger.DecodeTally(m)
+	if err != nil {
+		return sum{}
+	}
+	return sum{counts: counts, ranks: ranks}
+}
+
+// sum is what a number of ranks have counted since they were last asked.
+type sum struct {
+	counts rank.Counts
+	ranks  int
 }
 
-// addSum adds the counts of some ranks to those of others in place, unless they are of another epoch or shape.
-func addSum(total, sum *wire.RankSum) {
+// with returns the sum with the counts of other ranks, unless they are of another epoch or shape. It may change the
+// counts of s in place.
+func (s sum) with(o sum) sum {
 	switch {
-	case sum == nil || sum.GetRanks() == 0:
-	case total.GetRanks() == 0:
-		total.Epoch, total.Ranks, total.Counts = sum.GetEpoch(), sum.GetRanks(), sum.GetCounts()
-	case total.GetEpoch() == sum.GetEpoch() && len(total.GetCounts()) == len(sum.GetCounts()):
-		total.Ranks += sum.GetRanks()
-		for i, c := range sum.GetCounts() {
-			total.Counts[i] += c
+	case o.ranks == 0:
+	case s.ranks == 0:
+		return o
+	case s.counts.Epoch == o.counts.Epoch && len(s.counts.Counts) == len(o.counts.Counts):
+		s.ranks += o.ranks
+		for i, n := range o.counts.Counts {
+			s.counts.Counts[i] += n
 		}
 	}
+	return s
 }
 
 // maxTallySpan is the longest time between two counts whose difference is of use: what was counted before is no longer
@@ -138,23 +159,23 @@
 
 // take returns what a rank has counted since the last call, nothing after too long a time or if the rank does not
 // answer.
-func (t *tally) take(ctx context.Context, w kingcupstile.Worker) *wire.RankSum {
+func (t *tally) take(ctx context.Context, w kingcupstile.Worker) sum {
 	counts, err := w.Counts(ctx)
 	if err != nil {
-		return nil
+		return sum{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before, since := t.last, time.Since(t.at)
 	t.last, t.at = counts, time.Now()
 	if before.Epoch != counts.Epoch || len(before.Counts) != len(counts.Counts) || since > maxTallySpan {
-		return nil
+		return sum{}
 	}
-	sum := &wire.RankSum{Epoch: counts.Epoch, Ranks: 1, Counts: make([]uint64, len(counts.Counts))}
+	difference := rank.Counts{Epoch: counts.Epoch, Counts: make([]uint64, len(counts.Counts))}
 	for i, c := range counts.Counts {
 		if c > before.Counts[i] {
-			sum.Counts[i] = c - before.Counts[i]
+			difference.Counts[i] = c - before.Counts[i]
 		}
 	}
-	return sum
+	return sum{counts: difference, ranks: 1}
 }
