ledger: Drop a rolled back entry from the index by expiry

An attempt that was rolled back left its key in the index. Admitted anew under the same key with a later expiry, the key was dropped at the earlier one, and a third attempt under it was admitted: a second run. TestKeyOutlivesARolledBackAttempt failed before.

--- a/state/ledger/ledger.go
+++ b/state/ledger/ledger.go
@@ -125,7 +125,7 @@
 	if !found || e.attempt != a.ID() || a.Incarnation() != l.incarnation {
 		return l
 	}
-	return l.withTable(a, t.withoutEntry(e.identity).withTombstone(a.ID(), a.Expiry()))
+	return l.withTable(a, t.withoutEntry(e).withTombstone(a.ID(), a.Expiry()))
 }
 
 // WithTombstone returns the ledger with a tombstone that keeps the attempt from starting, and the outcome that is now
--- a/state/ledger/ledger_test.go
+++ b/state/ledger/ledger_test.go
@@ -107,6 +107,20 @@
 }
 
 // BenchmarkWithAdmitted admits and finishes attempts with keys, and reports the memory in bytes per key.
+// TestKeyOutlivesARolledBackAttempt rolls back an attempt under a key and admits another one under it that expires later:
+// the key is known until then, so that no third attempt runs.
+func TestKeyOutlivesARolledBackAttempt(t *testing.T) {
+	key := attempt.Key("slip-7")
+	first, second := newAttempt("r1", key), newAttempt("r2", key, attempt.Expiry(start.Add(3*time.Minute)))
+	l := admit(t, ledger.New(incarnation), first).WithRolledBack(first)
+	l = admit(t, l, second).WithState(second.Identity(), ledger.StateFinished)
+	later := start.Add(2 * time.Minute)
+	third := newAttempt("r3", key, attempt.Expiry(start.Add(3*time.Minute)))
+	if _, err := l.WithoutExpired(later).WithAdmitted(third, later); fault.KindOf[ledger.Kind](err) != ledger.KindDuplicate {
+		t.Errorf("a second attempt under a key may run: %v", err)
+	}
+}
+
 func BenchmarkWithAdmitted(b *testing.B) {
 	const keys = ledger.DefaultLimit
 	var before, after runtime.MemStats
--- a/state/ledger/table.go
+++ b/state/ledger/table.go
@@ -44,8 +44,9 @@
 	return t
 }
 
-func (t table) withoutEntry(identity string) table {
-	t.entries, _, _ = t.entries.Delete([]byte(identity))
+func (t table) withoutEntry(e Entry) table {
+	t.entries, _, _ = t.entries.Delete([]byte(e.identity))
+	t.expiries, _, _ = t.expiries.Delete(expiryKey(e.expiry, e.identity))
 	return t
 }
 
