platform, conduit, gateway: Withstand second copies, endless bytes and stops under load

- A server may send a second copy of a response, late, on a connection that was used again: the store's client then took a list for a watch.
- Answers that never end together took 16 MiB each; they share 48 MiB.
Calls between own processes are limited to 8 MiB.
- A stop closed the servers at once; now they stop listening first, and requests that have just arrived get 300 ms.
- The check for a runner that gives no first event compared with one fixed moment and never fired for a runner that stopped later.

--- a/commands/serve.go
+++ b/commands/serve.go
@@ -83,7 +83,7 @@
 		Entries:  platform.Entries(client, codec, log).WithReplica(replica),
 		Registry: platform.EntryRegistry(client, codec),
 		Copies: func(address string) gateway.Copies {
-			near := platform.NewClient(address, platform.Compressed())
+			near := platform.NewClient(address, platform.ForReplica())
 			return gateway.Copies{
 				Config: platform.Config(near, log).WithReplica(replica), Runners: platform.Runners(near, log).WithReplica(replica),
 				Entries: platform.Entries(near, codec, log).WithReplica(replica),
--- a/coordination/placer/board.go
+++ b/coordination/placer/board.go
@@ -15,6 +15,10 @@
 // again after some seconds.
 const minFailures = 0.1
 
+// maxFailed is the number of runners with failures from which those that have decayed are dropped, as runners that failed
+// may be gone for good.
+const maxFailed = 64
+
 // maxFailures caps a runner's failure count, and so the time for which past failures matter.
 const maxFailures = 8
 
@@ -67,6 +71,13 @@
 func (b *Tracker) RecordFailure(id string, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.failures) >= maxFailed {
+		for other := range b.failures {
+			if b.decayedFailures(other, now) == 0 {
+				delete(b.failures, other)
+			}
+		}
+	}
 	b.failures[id] = failure{count: min(b.decayedFailures(id, now)+1, maxFailures), at: now}
 }
 
--- a/coordination/placer/probe.go
+++ b/coordination/placer/probe.go
@@ -14,8 +14,6 @@
 	// farWeight is the weight of a runner in another data centre, in open requests. It is more than for runners whose load
 	// is only estimated, but a runner with room is chosen before one in the own data centre that is full.
 	farWeight = 1.5
-	// maxTries bounds the random draws for one of them, as some runners may be leaving.
-	maxTries = 8
 )
 
 // IsProbed reports whether the load of a service's runners is asked for before each request. Few entries know it from
@@ -25,6 +23,12 @@
 	return entries > maxEntriesToCompareAll && e.HasExperts()
 }
 
+// WithAvoided returns the request with more runners that must not get it.
+func (r Request) WithAvoided(ids []string) Request {
+	r.Avoid = slices.Concat(r.Avoid, ids)
+	return r
+}
+
 // Sample returns some runners to probe for a request, drawn at random: most from the entry's own data centre. It returns
 // fewer, or none, if hardly any takes new work.
 func Sample(runners []runner.Runner, request Request) []runner.Runner {
@@ -36,8 +40,11 @@
 	}
 	var sample []runner.Runner
 	draw := func(list []runner.Runner, n int) {
-		for tries := 0; len(list) > 0 && n > 0 && tries < maxTries; tries++ {
-			r := list[rand.N(len(list))]
+		for _, i := range rand.Perm(len(list)) {
+			if n == 0 {
+				return
+			}
+			r := list[i]
 			isDrawn := slices.ContainsFunc(sample, func(d runner.Runner) bool { return d.ID() == r.ID() })
 			if isDrawn || !r.IsReady() || slices.Contains(request.Avoid, r.ID()) {
 				continue
--- a/transport/caretaker/caretaker.go
+++ b/transport/caretaker/caretaker.go
@@ -55,6 +55,8 @@
 	// loadTimeout bounds the reading of the configuration and the list of runners, both together.
 	loadTimeout   = 3 * time.Second
 	headerTimeout = time.Second
+	// maxCallBytes is the largest size of another process's call, above all of one with a whole map.
+	maxCallBytes = 8 << 20
 	// switchLead is the time that a switch to a new map takes in addition to copying: two passes and a few calls.
 	switchLead = 200 * time.Millisecond
 	// demandHorizon is how long the measured demand is expected to last; users' demand shifts every few seconds.
@@ -86,7 +88,7 @@
 	c.loop = looper.New(conductor.New(c.settings.Engine, rand.Uint64()), conductor.Step, c.handle)
 	go c.loop.Run(stop)
 	handlers := map[string]http.Handler{
-		net.JoinHostPort(c.settings.IP, strconv.Itoa(c.settings.InternalPorts[0])): ranker.Handler(c.group),
+		net.JoinHostPort(c.settings.IP, strconv.Itoa(c.settings.InternalPorts[0])): http.MaxBytesHandler(ranker.Handler(c.group), maxCallBytes),
 	}
 	if c.settings.MetricsAddress != "" {
 		handlers[c.settings.MetricsAddress] = c.meter
--- a/transport/conduit/conduit.go
+++ b/transport/conduit/conduit.go
@@ -145,14 +145,35 @@
 	return errors.CombineErrors(err, optionErr)
 }
 
-// ReadAll reads the body of an answer, or returns an Error of KindCut if it is incomplete or larger than maxBytes.
-func (x *Exchange) ReadAll(maxBytes int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(x.answer.Body, maxBytes+1))
-	if err != nil {
-		return nil, fault.New("read answer", KindCut, err)
-	}
-	if int64(len(body)) > maxBytes {
-		return nil, fault.Newf("read answer", KindCut, "body exceeds the limit of %d bytes", maxBytes)
+// Budget bounds the memory that answers take while they are read; its methods are safe for concurrent use.
+type Budget interface {
+	// TryAcquire takes bytes from the budget and reports whether there were as many.
+	TryAcquire(bytes int64) bool
+	// Release gives bytes back.
+	Release(bytes int64)
+}
+
+// freeBytes is the size up to which an answer needs no budget.
+const freeBytes = 64 << 10
+
+// ReadAll reads the body of an answer, or returns an Error of KindCut if it is incomplete, larger than maxBytes, or if the
+// budget does not allow as much. The bytes are released at once, as the caller is given the body to send on.
+func (x *Exchange) ReadAll(maxBytes int64, budget Budget) ([]byte, error) {
+	var body bytes.Buffer
+	taken := int64(0)
+	defer func() { budget.Release(taken) }()
+	for limit := int64(freeBytes); ; limit *= 2 {
+		n, err := io.CopyN(&body, x.answer.Body, min(limit, maxBytes+1)-int64(body.Len()))
+		switch {
+		case int64(body.Len()) > maxBytes:
+			return nil, fault.Newf("read answer", KindCut, "body exceeds the limit of %d bytes", maxBytes)
+		case errors.Is(err, io.EOF):
+			return body.Bytes(), nil
+		case err != nil:
+			return nil, fault.New("read answer", KindCut, err)
+		case !budget.TryAcquire(limit):
+			return nil, fault.Newf("read answer", KindCut, "no memory for a body of more than %d bytes, after %d", limit, n)
+		}
+		taken += limit
 	}
-	return body, nil
 }
--- a/transport/conduit/conduit_test.go
+++ b/transport/conduit/conduit_test.go
@@ -8,9 +8,12 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/kingcupstile/kingcupstile/state/fault"
 	"github.com/kingcupstile/kingcupstile/transport/conduit"
 )
@@ -85,7 +88,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := x.ReadAll(1 << 20); fault.KindOf[conduit.Kind](err) != conduit.KindCut {
+	if _, err := x.ReadAll(1<<20, semaphore.NewWeighted(8<<20)); fault.KindOf[conduit.Kind](err) != conduit.KindCut {
 		t.Errorf("got %v", err)
 	}
 	x.Close()
@@ -96,6 +99,32 @@
 	}
 }
 
+// TestManyEndlessBodiesShareABudget reads several answers without end at once: together they take no more memory than the
+// budget allows, and it is whole again afterwards.
+func TestManyEndlessBodiesShareABudget(t *testing.T) {
+	const size, limit = 4 << 20, 1 << 30
+	budget := semaphore.NewWeighted(size)
+	var wait sync.WaitGroup
+	for range 8 {
+		address, _ := serve(t, "HTTP/1.1 200 OK\r\n\r\n", "x")
+		wait.Go(func() {
+			x, err := conduit.Send(t.Context(), address, conduit.Request{Method: "GET", Target: "/", Host: "h"})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer x.Close()
+			if body, err := x.ReadAll(limit, budget); fault.KindOf[conduit.Kind](err) != conduit.KindCut {
+				t.Errorf("%d bytes, %v", len(body), err)
+			}
+		})
+	}
+	wait.Wait()
+	if !budget.TryAcquire(size) {
+		t.Error("the budget is not whole after all answers ended")
+	}
+}
+
 // TestLongBodyAfterTheHead has a body that is longer than heads may be: the limit of heads does not apply to it.
 func TestLongBodyAfterTheHead(t *testing.T) {
 	body := strings.Repeat("y", 200<<10)
@@ -105,7 +134,7 @@
 		t.Fatal(err)
 	}
 	defer x.Close()
-	if got, err := x.ReadAll(1 << 20); err != nil || !bytes.Equal(got, []byte(body)) {
+	if got, err := x.ReadAll(1<<20, semaphore.NewWeighted(8<<20)); err != nil || !bytes.Equal(got, []byte(body)) {
 		t.Errorf("%d bytes, %v", len(got), err)
 	}
 }
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/coordination/overseer"
@@ -31,7 +32,9 @@
 	scope       tally.Scope
 	reportCrash func(f suspect.Fingerprint, runner string)
 	// gates holds the *pacer.Gate of each service by its name.
-	gates    sync.Map
+	gates sync.Map
+	// memory bounds what answers take while they are read.
+	memory   *semaphore.Weighted
 	inFlight atomic.Int64
 	// stopping makes the forwarder refuse every new request.
 	stopping atomic.Bool
@@ -70,7 +73,7 @@
 	f := &Forwarder{
 		snapshot: snapshot, clock: clock, dialect: dialect, tracker: placer.NewTracker(), retrier: retrier.New(),
 		reportCrash: func(suspect.Fingerprint, string) {}, retryShare: defaultRetryShare,
-		log: slog.New(slog.DiscardHandler), scope: tally.NoopScope,
+		log: slog.New(slog.DiscardHandler), scope: tally.NoopScope, memory: semaphore.NewWeighted(answerMemory),
 	}
 	for _, option := range options {
 		option(f)
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -21,6 +21,8 @@
 	// maxAnswerSize is the largest body in bytes of an answer that is not a stream; operators limit requests to a few
 	// megabytes.
 	maxAnswerSize = 16 << 20
+	// answerMemory is how many bytes larger answers may take together while they are read.
+	answerMemory = 48 << 20
 	// answerTimeoutFactor times the route's latency target is how long an attempt of a repeatable request may take to
 	// give the first event of a stream, or another answer in full, before the request is retried at another runner.
 	answerTimeoutFactor = 2
@@ -110,10 +112,10 @@
 }
 
 // startAnswerTimeout cancels the attempt when the timeout has passed, unless the runner has given an event of another
-// request later than half the timeout after the attempt began: it works then and has only not come to this request.
-// This is checked again after each further timeout. The returned function stops the checks.
+// request within the last half of it: it works then and has only not come to this request. This is checked again after
+// each further timeout. The returned function stops the checks.
 func (c *call) startAnswerTimeout(wait time.Duration) (stop func()) {
-	f, sent := c.exchange.forwarder, c.exchange.forwarder.clock.Now()
+	f := c.exchange.forwarder
 	answered := make(chan struct{})
 	go func() {
 		ticker := time.NewTicker(wait)
@@ -124,7 +126,7 @@
 			case <-answered:
 				return
 			}
-			if f.tracker.LastAnswer(c.runner.ID()) <= sent+wait/2 {
+			if f.tracker.LastAnswer(c.runner.ID()) <= f.clock.Now()-wait/2 {
 				c.cancel()
 				return
 			}
@@ -182,7 +184,7 @@
 
 // readWhole reads an answer that is not a stream, and returns it as one frame.
 func (c *call) readWhole(ctx context.Context) dispatcher.Event {
-	body, err := c.connection.ReadAll(maxAnswerSize)
+	body, err := c.connection.ReadAll(maxAnswerSize, c.exchange.forwarder.memory)
 	if err != nil {
 		return c.handleFailure(ctx, err, true)
 	}
@@ -233,7 +235,7 @@
 		return dispatcher.FrameReceived{Frame: f}
 	}
 	for {
-		got, ok := c.waitEvent(ctx)
+		got, ok := c.waitEvent()
 		if !ok {
 			return c.handleFailure(ctx, errors.New("no event on the stream before the stall timeout or the end of the request"), true)
 		}
@@ -300,7 +302,7 @@
 // waitEvent waits for the next event. It reports false when the request ends, or when a resumable stream has had no
 // event for stallTimeout while other streams of the service advance. Comments, and bytes that do not yet make up an event,
 // are no sign that a stream advances.
-func (c *call) waitEvent(ctx context.Context) (eventResult, bool) {
+func (c *call) waitEvent() (eventResult, bool) {
 	idle := c.exchange.forwarder.clock.Now() - max(c.sentAt, c.lastEventAt)
 	if c.lastEventAt == 0 {
 		idle = 0
@@ -311,7 +313,7 @@
 		select {
 		case got := <-c.events:
 			return got, true
-		case <-ctx.Done():
+		case <-c.ctx.Done():
 			return eventResult{}, false
 		case <-timer.C:
 			if c.exchange.access.route.IsResumable() && c.exchange.gate.IsAdvancing(c.exchange.forwarder.clock.Now()) {
--- a/transport/forwarder/place.go
+++ b/transport/forwarder/place.go
@@ -36,6 +36,7 @@
 func (x *exchange) place(ctx context.Context) (runner.Runner, room) {
 	f := x.forwarder
 	until := x.arrivedAt + x.access.route.LatencyTarget()/waitDivisor
+	var tried []string
 	for {
 		state, now := f.snapshot(), f.clock.Now()
 		heartbeats := state.Heartbeats(now)
@@ -45,7 +46,14 @@
 		if f.prober == nil || !f.isProbed(state, x.service, len(heartbeats)+1) {
 			return placed(view.Place(runners, request))
 		}
-		best, hasRoom, known := x.probe(ctx, view, runners, request)
+		sample := placer.Sample(runners, request.WithAvoided(tried))
+		if len(sample) == 0 {
+			tried, sample = nil, placer.Sample(runners, request)
+		}
+		for _, r := range sample {
+			tried = append(tried, r.ID())
+		}
+		best, hasRoom, known := x.probe(ctx, view, sample, request)
 		switch {
 		case !known:
 			// Nothing is known of the load, which is no reason to refuse.
@@ -78,11 +86,10 @@
 	return r, roomFound
 }
 
-// probe asks some runners for their load and returns the best of those that answered, and false if none did.
+// probe asks runners for their load and returns the best of those that answered, and false if none did.
 func (x *exchange) probe(
-	ctx context.Context, view placer.View, runners []runner.Runner, request placer.Request,
+	ctx context.Context, view placer.View, sample []runner.Runner, request placer.Request,
 ) (best runner.Runner, hasRoom, known bool) {
-	sample := placer.Sample(runners, request)
 	addresses := make([]string, len(sample))
 	for i, r := range sample {
 		addresses[i] = r.Address()
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -145,11 +145,7 @@
 	go entries.Run(control)
 	go g.tick(control)
 	servers, err := g.listen(control)
-	defer func() {
-		for _, s := range servers {
-			_ = s.Close()
-		}
-	}()
+	defer closeServers(servers)
 	if err != nil {
 		return err
 	}
@@ -160,6 +156,24 @@
 	return nil
 }
 
+// shutdownTimeout is how long requests may take that arrived just before the servers stop listening.
+const shutdownTimeout = 300 * time.Millisecond
+
+// closeServers stops listening, waits a little for requests that have just arrived, and closes all connections.
+func closeServers(servers []*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, s := range servers {
+		wait.Go(func() {
+			if err := s.Shutdown(ctx); err != nil {
+				_ = s.Close()
+			}
+		})
+	}
+	wait.Wait()
+}
+
 // retryBurst returns how many retries each service's budget at this entry may hold.
 func (g *Gateway) retryBurst() int {
 	entries := len(g.loop.Snapshot().Peers()) + 1
