--- a/coordination/overseer/links.go
+++ b/coordination/overseer/links.go
@@ -15,8 +15,8 @@
 	maxReportAge = 2 * time.Second
 	// minSilence is how long this entry must itself not have heard from another one to believe that it is silent.
 	minSilence = 800 * time.Millisecond
-	// maxSilences bounds the silent entries in one heartbeat.
-	maxSilences = 8
+	// maxSilences bounds the silent entries in one heartbeat, so that it fits into a datagram when a data centre is lost.
+	maxSilences = 40
 	// refuteTime is for how long an entry that is reported silent sends heartbeats to all others.
 	refuteTime = 2 * minHeartbeatInterval
 )
@@ -144,8 +144,8 @@
 	return now-max(e.heardAt, e.listedAt, e.linkedAt) > linkTimeout
 }
 
-// withSilences takes in which entries another one reports as silent. An entry is silent once two others report it and
-// this one has not heard from it for a while.
+// withSilences takes in which entries another one reports as silent. An entry is silent once two others report it, or one
+// and this one is linked to it and would report it too, and this one has not heard from it for a while.
 func (s State) withSilences(b peer.Heartbeat, at time.Duration) State {
 	for _, silence := range b.Silences {
 		if silence.Name == s.self.Name {
@@ -159,7 +159,8 @@
 			continue
 		}
 		e = e.withReport(report{from: b.Name, at: at})
-		if at-e.reporters[1].at < maxReportAge && e.reporters[1].from != "" && at-e.heardAt > minSilence {
+		isReportedTwice := e.reporters[1].from != "" && at-e.reporters[1].at < maxReportAge
+		if (isReportedTwice || e.linkedAt > 0 && e.isLinkSilent(at)) && at-e.heardAt > minSilence {
 			e.silentAt = at
 		}
 		s = s.withEntry(e)
