platform, forwarder: Count calls to the store and load probes

Which calls a large fleet makes could only be guessed from logs. A counter by method, kind and outcome shows them, beside the share of slots in use and the probes that were not answered. Two interfaces with one implementation each became concrete types, as interfaces stand in the root package.

--- a/commands/serve.go
+++ b/commands/serve.go
@@ -19,6 +19,7 @@
 	"github.com/kingcupstile/kingcupstile/transport/caretaker"
 	"github.com/kingcupstile/kingcupstile/transport/gateway"
 	"github.com/kingcupstile/kingcupstile/transport/logger"
+	"github.com/kingcupstile/kingcupstile/transport/meter"
 	"github.com/kingcupstile/kingcupstile/transport/timekeeper"
 )
 
@@ -68,11 +69,12 @@
 
 // servePlatform runs an entry or an endpoint process, as the settings say, until stop ends.
 func servePlatform(stop context.Context, settings parser.PlatformSettings, log *slog.Logger) error {
-	client, codec := platform.NewClient(settings.Store), translator.PeerCodec{}
+	metrics := meter.New()
+	client, codec := platform.NewClient(settings.Store, platform.Observe(countCalls(metrics))), translator.PeerCodec{}
 	config, runners := platform.Config(client, log), platform.Runners(client, log)
 	if settings.Role == "endpoint" {
 		return caretaker.New(settings, caretaker.Dependencies{
-			Config: config, Runners: runners, Clock: timekeeper.Clock{},
+			Config: config, Runners: runners, Clock: timekeeper.Clock{}, Meter: metrics,
 			Worker: func(address string) kingcupstile.Worker { return platform.NewWorker(address) },
 		}, log).Run(stop)
 	}
@@ -90,6 +92,7 @@
 			}
 		},
 		Replica: replica.Handler(),
+		Meter:   metrics,
 		Dialect: platform.Dialect{},
 		Clock:   timekeeper.Clock{},
 		Lookup:  platform.Lookup(min(maxLookupTTL, settings.LookupTTL)),
@@ -97,6 +100,16 @@
 	}, log).Run(stop)
 }
 
+// countCalls returns a function that counts the calls to the store.
+func countCalls(m *meter.Meter) func(method, kind string, outcome kingcupstile.Kind) {
+	return func(method, kind string, outcome kingcupstile.Kind) {
+		if outcome == "" {
+			outcome = "success"
+		}
+		m.ReportCounter("kingcup_store_calls", map[string]string{"method": method, "kind": kind, "outcome": string(outcome)}, 1)
+	}
+}
+
 // reloadLevel reads the settings again at each SIGHUP until ctx ends. Only a new log level takes effect at once; other
 // settings take effect at the next start.
 func reloadLevel(ctx context.Context, file string, running parser.PlatformSettings, level *slog.LevelVar, log *slog.Logger) {
--- a/transport/caretaker/caretaker.go
+++ b/transport/caretaker/caretaker.go
@@ -43,6 +43,8 @@
 	Clock   kingcupstile.Clock
 	// Worker returns a client of the rank at an IP address and port.
 	Worker func(address string) kingcupstile.Worker
+	// Meter keeps the metrics; if it is nil, the process has one of its own.
+	Meter *meter.Meter
 }
 
 const (
@@ -77,8 +79,11 @@
 
 // New returns a process with the given settings; it serves nothing until Run is called.
 func New(s parser.PlatformSettings, d Dependencies, log *slog.Logger) *Caretaker {
+	if d.Meter == nil {
+		d.Meter = meter.New()
+	}
 	return &Caretaker{
-		settings: s, deps: d, log: log.With("vm", s.Name), meter: meter.New(),
+		settings: s, deps: d, log: log.With("vm", s.Name), meter: d.Meter,
 		group: ranker.NewGroup(s.Engine, d.Worker(s.Engine), strconv.Itoa(s.InternalPorts[0]), d.Worker), book: reserver.New(),
 	}
 }
--- a/transport/conduit/conduit.go
+++ b/transport/conduit/conduit.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
 
 	"github.com/kingcupstile/kingcupstile/state/fault"
@@ -145,20 +146,12 @@
 	return errors.CombineErrors(err, optionErr)
 }
 
-// Budget bounds the memory that answers take while they are read; its methods are safe for concurrent use.
-type Budget interface {
-	// TryAcquire takes bytes from the budget and reports whether there were as many.
-	TryAcquire(bytes int64) bool
-	// Release gives bytes back.
-	Release(bytes int64)
-}
-
 // freeBytes is the size up to which an answer needs no budget.
 const freeBytes = 64 << 10
 
 // ReadAll reads the body of an answer, or returns an Error of KindCut if it is incomplete, larger than maxBytes, or if the
 // budget does not allow as much. The bytes are released at once, as the caller is given the body to send on.
-func (x *Exchange) ReadAll(maxBytes int64, budget Budget) ([]byte, error) {
+func (x *Exchange) ReadAll(maxBytes int64, budget *semaphore.Weighted) ([]byte, error) {
 	var body bytes.Buffer
 	taken := int64(0)
 	defer func() { budget.Release(taken) }()
--- a/transport/forwarder/place.go
+++ b/transport/forwarder/place.go
@@ -103,6 +103,10 @@
 		}
 	}
 	level := x.gate.Level()
+	scope := x.forwarder.scope.Tagged(map[string]string{"service": x.service})
+	scope.Gauge("level").Update(level.Limit())
+	scope.Counter("probes").Inc(int64(len(sample)))
+	scope.Counter("probes_unanswered").Inc(int64(len(sample) - len(probed)))
 	return view.Choose(probed, request, func(r runner.Runner) int {
 		return level.Allowed(r.Slots(), float64(runner.Key(r.ID())%offsetSteps)/offsetSteps)
 	})
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -48,7 +48,9 @@
 	Copies  func(address string) Copies
 	Replica http.Handler
 	Dialect kingcupstile.Dialect
-	Clock   kingcupstile.Clock
+	// Meter keeps the metrics; if it is nil, the entry has one of its own.
+	Meter *meter.Meter
+	Clock kingcupstile.Clock
 	// Lookup returns the handler that tells callers which entries to use; addresses returns them for a data centre and
 	// region.
 	Lookup func(addresses func(centre, region string) []string) http.Handler
@@ -85,8 +87,11 @@
 
 // New returns an entry with the given settings; it opens nothing before Run.
 func New(s parser.PlatformSettings, p Dependencies, log *slog.Logger) *Gateway {
+	if p.Meter == nil {
+		p.Meter = meter.New()
+	}
 	return &Gateway{
-		settings: s, platform: p, log: log.With("vm", s.Name), tracker: placer.NewTracker(), meter: meter.New(),
+		settings: s, platform: p, log: log.With("vm", s.Name), tracker: placer.NewTracker(), meter: p.Meter,
 		self: peer.Peer{
 			Name: s.Name, Start: time.Now().UnixNano(), Callers: s.Callers, Centre: s.Centre, Region: s.Region,
 			Beats: net.JoinHostPort(s.IP, strconv.Itoa(s.InternalPorts[0])),
--- a/transport/prober/server.go
+++ b/transport/prober/server.go
@@ -7,20 +7,13 @@
 	"time"
 
 	"github.com/kingcupstile/kingcupstile/coordination/pauser"
+	"github.com/kingcupstile/kingcupstile/coordination/reserver"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger"
 )
 
-// Book answers what probes ask for.
-type Book interface {
-	// Announce records that a request is about to be sent to the runner.
-	Announce(now time.Duration)
-	// Open returns the runner's open requests, and false if they are unknown.
-	Open(now time.Duration) (int, bool)
-}
-
 // Serve answers the probes that arrive at a socket until ctx ends, and then closes the socket. It does not answer while
 // the runner's open requests are unknown.
-func Serve(ctx context.Context, socket net.PacketConn, book Book, now func() time.Duration, log *slog.Logger) {
+func Serve(ctx context.Context, socket net.PacketConn, book *reserver.Reserver, now func() time.Duration, log *slog.Logger) {
 	receive(ctx, socket, log, func(datagram []byte, from net.Addr) error {
 		p, err := messenger.DecodeProbe(datagram)
 		if err != nil {
