--- a/coordination/follower/follower.go
+++ b/coordination/follower/follower.go
@@ -30,6 +30,8 @@
 	// store that recovers is noticed soon.
 	minPause = 50 * time.Millisecond
 	maxPause = 400 * time.Millisecond
+	// maxLinkedPause is maxPause for a follower whose process learns from others when the store is back.
+	maxLinkedPause = 2 * time.Second
 )
 
 // Sink receives what a follower reads from the store, in order and on the follower's goroutine; requestedAt is when the
@@ -51,6 +53,8 @@
 	sink    Sink[T]
 	wait    func() time.Duration
 	refresh chan struct{}
+	// isLinked reports whether others tell this process when the store is back.
+	isLinked func() bool
 }
 
 // Option sets a field of a Follower under construction.
@@ -61,10 +65,17 @@
 	return func(f *Follower[T]) { f.wait = wait }
 }
 
+// Linked sets the function that reports whether the process learns from others when the store is back, so that it need
+// not ask as often itself.
+func Linked[T any](isLinked func() bool) Option[T] {
+	return func(f *Follower[T]) { f.isLinked = isLinked }
+}
+
 // New returns a follower that passes what it reads from feed to sink.
 func New[T any](feed kingcupstile.Feed[T], clock kingcupstile.Clock, sink Sink[T], options ...Option[T]) *Follower[T] {
 	f := &Follower[T]{
 		feed: feed, clock: clock, sink: sink, wait: func() time.Duration { return DefaultWatchWait }, refresh: make(chan struct{}, 1),
+		isLinked: func() bool { return false },
 	}
 	for _, option := range options {
 		option(f)
@@ -100,7 +111,11 @@
 		if !pauser.Jitter(ctx, pause) {
 			return
 		}
-		pause = min(2*pause, maxPause)
+		longest := maxPause
+		if f.isLinked() {
+			longest = maxLinkedPause
+		}
+		pause = min(2*pause, longest)
 	}
 }
 
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -144,14 +144,17 @@
 
 // IsRelay reports whether this entry polls the store at short intervals. The first relayCount present entries by name
 // do, and so does an entry whose configuration they have not confirmed for too long.
-func (s State) IsRelay(now time.Duration) bool {
+func (s State) IsRelay(now time.Duration) bool { return s.IsRoot(now) || s.Age(now) > s.refreshAge() }
+
+// IsRoot reports whether this entry is one of the first relayCount present ones by name, from which the others learn.
+func (s State) IsRoot(now time.Duration) bool {
 	before := 0
 	for _, e := range s.peers {
 		if e.peer.Name < s.self.Name && s.isPresent(e, now) {
 			before++
 		}
 	}
-	return before < relayCount || s.Age(now) > s.refreshAge()
+	return before < relayCount
 }
 
 // refreshAge returns the age of the configuration from which this entry asks the store itself.
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -138,15 +138,18 @@
 		forwarder.Probes(probes),
 	)
 	config := sourcer.New(g.platform.Config, nearby(g, func(c Copies) kingcupstile.Feed[routing.Table] { return c.Config }))
-	g.config = follower.New(config, g.platform.Clock, configSink{g}, follower.WatchWait[routing.Table](g.configWait))
+	g.config = follower.New(config, g.platform.Clock, configSink{g}, follower.WatchWait[routing.Table](g.configWait),
+		follower.Linked[routing.Table](g.isLinked))
 	runners := sourcer.New(g.platform.Runners, nearby(g, func(c Copies) kingcupstile.Feed[runner.Runner] { return c.Runners }))
-	g.runners = follower.New(runners, g.platform.Clock, runnerSink{g}, follower.WatchWait[runner.Runner](g.runnersWait))
+	g.runners = follower.New(runners, g.platform.Clock, runnerSink{g}, follower.WatchWait[runner.Runner](g.runnersWait),
+		follower.Linked[runner.Runner](g.isLinked))
 	go g.loop.Run(control)
 	go g.config.Run(control)
 	go g.runners.Run(control)
 	entries := follower.New(
 		sourcer.New(g.platform.Entries, nearby(g, func(c Copies) kingcupstile.Feed[peer.Peer] { return c.Entries })),
-		g.platform.Clock, peerSink{g}, follower.WatchWait[peer.Peer](func() time.Duration { return longWatchWait }))
+		g.platform.Clock, peerSink{g},
+		follower.WatchWait[peer.Peer](func() time.Duration { return longWatchWait }), follower.Linked[peer.Peer](g.isLinked))
 	go entries.Run(control)
 	go g.tick(control)
 	servers, err := g.listen(control)
--- a/transport/gateway/sinks.go
+++ b/transport/gateway/sinks.go
@@ -36,6 +36,12 @@
 	return longWatchWait
 }
 
+// isLinked reports whether this entry learns from others when the store is back.
+func (g *Gateway) isLinked() bool {
+	state := g.loop.Snapshot()
+	return state.IsLinked() && !state.IsRoot(g.platform.Clock.Now())
+}
+
 // runnersWait returns how long the next watch of runners may wait.
 func (g *Gateway) runnersWait() time.Duration {
 	if g.loop.Snapshot().IsRelay(g.platform.Clock.Now()) {
