--- a/coordination/follower/follower_test.go
+++ b/coordination/follower/follower_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,20 +16,28 @@
 
 // store is a feed that fails until its calls are allowed.
 type store struct {
+	mu    sync.Mutex
 	up    bool
 	calls int
 }
 
-func (s *store) List(context.Context) (listing.Listing[string], error) {
+// enter counts a call and reports whether calls are allowed.
+func (s *store) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.calls++
-	if !s.up {
+	return s.up
+}
+
+func (s *store) List(context.Context) (listing.Listing[string], error) {
+	if !s.enter() {
 		return listing.Listing[string]{}, fault.New[kingcupstile.Kind]("list", kingcupstile.KindUnavailable, nil)
 	}
 	return listing.Listing[string]{Revision: 1}, nil
 }
 
 func (s *store) Changes(ctx context.Context, after uint64, wait time.Duration) (listing.Changes[string], error) {
-	s.calls++
+	s.enter()
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
@@ -41,11 +51,11 @@
 func (c clock) Now() time.Duration { return time.Since(c.start) }
 
 // sink counts what it is given.
-type sink struct{ listed, failed int }
+type sink struct{ listed, failed atomic.Int64 }
 
-func (s *sink) Listed(listing.Listing[string], time.Duration)  { s.listed++ }
+func (s *sink) Listed(listing.Listing[string], time.Duration)  { s.listed.Add(1) }
 func (s *sink) Changed(listing.Changes[string], time.Duration) {}
-func (s *sink) Failed(error)                                   { s.failed++ }
+func (s *sink) Failed(error)                                   { s.failed.Add(1) }
 
 // TestOutageOfTheStore lets the store be down for 20 s: a process that learns from others when it is back asks it a fifth
 // as often, and either kind of process lists soon after its return.
@@ -70,14 +80,16 @@
 				}()
 				time.Sleep(20 * time.Second)
 				synctest.Wait()
-				if s.calls > test.most || got.failed != s.calls {
-					t.Errorf("%d calls and %d failures in 20 s", s.calls, got.failed)
+				s.mu.Lock()
+				if s.calls > test.most || int(got.failed.Load()) != s.calls {
+					t.Errorf("%d calls and %d failures in 20 s", s.calls, got.failed.Load())
 				}
 				s.up = true
+				s.mu.Unlock()
 				time.Sleep(test.within)
 				synctest.Wait()
-				if got.listed != 1 {
-					t.Errorf("%d listings within %v of the store's return", got.listed, test.within)
+				if got.listed.Load() != 1 {
+					t.Errorf("%d listings within %v of the store's return", got.listed.Load(), test.within)
 				}
 				cancel()
 				<-done
