leveler, pacer, placer: Let one piece serve what stood two or three times

Level had its own copy of what Pace does with gaps: both use one value. A change of a layout was described by sentinels and a flag, of which apply, addDeltas and improve each made the same moves: it consists of moves now. Propose placed the layout in use twice, once for its skew alone.

--- a/coordination/leveler/demand.go
+++ b/coordination/leveler/demand.go
@@ -1,6 +1,10 @@
 package leveler
 
-import "time"
+import (
+	"time"
+
+	"github.com/kingcupstile/kingcupstile/coordination/decayer"
+)
 
 const (
 	// halfLife is the time in which counted choices lose half of their weight: a few times the length of a window.
@@ -39,10 +43,7 @@
 	if len(choices) != d.sets*d.experts {
 		return d
 	}
-	keep := 1.0
-	for remaining := length; remaining > 0; remaining -= halfLife {
-		keep *= 1 - min(1, float64(remaining)/float64(halfLife))/2
-	}
+	keep := decayer.Keep(length, halfLife)
 	weights := make([][]float64, d.sets)
 	for i := range weights {
 		window := choices[i*d.experts : (i+1)*d.experts]
--- a/coordination/leveler/placement.go
+++ b/coordination/leveler/placement.go
@@ -61,15 +61,22 @@
 	}
 }
 
-// change is one copy of an expert to a rank, with the experts that are dropped in return.
-type change struct {
-	expert, to int
-	// evicted is the expert that the target rank drops, -1 for none.
-	evicted int
-	// from is the rank that drops the copied expert, -1 for none.
-	from int
-	// swapped says that from takes in the evicted expert.
-	swapped bool
+// none stands for no rank, and for no expert.
+const none = -1
+
+// move takes an expert from a rank and gives it to another, none for no rank.
+type move struct{ expert, from, to int }
+
+// change is a copy of an expert to a rank and, in a second move, what that rank drops in return; its expert is none if the
+// rank has a free place.
+type change [2]move
+
+// moves returns the moves of the change.
+func (c *change) moves() []move {
+	if c[1].expert == none {
+		return c[:1]
+	}
+	return c[:]
 }
 
 // bestChange returns the change that reduces the excess most by copying an expert of the heaviest rank to one of the
@@ -91,7 +98,7 @@
 			s.tryCopies(e, heavy, to, try)
 			for _, f := range s.experts[to] {
 				if !slices.Contains(s.experts[heavy], f) && s.canTake(heavy, f, remaining) {
-					try(change{expert: e, to: to, evicted: f, from: heavy, swapped: true})
+					try(change{{e, heavy, to}, {f, to, heavy}})
 				}
 			}
 		}
@@ -103,14 +110,14 @@
 // from the heaviest. A rank without a free place evicts an expert that another rank holds as well.
 func (s *placement) tryCopies(e, heavy, to int, try func(change)) {
 	if len(s.experts[to]) < s.places {
-		try(change{expert: e, to: to, evicted: -1, from: -1})
-		try(change{expert: e, to: to, evicted: -1, from: heavy})
+		try(change{{e, none, to}, {expert: none}})
+		try(change{{e, heavy, to}, {expert: none}})
 		return
 	}
 	for _, f := range s.experts[to] {
 		if len(s.holders[f]) > 1 {
-			try(change{expert: e, to: to, evicted: f, from: -1})
-			try(change{expert: e, to: to, evicted: f, from: heavy})
+			try(change{{e, none, to}, {f, to, none}})
+			try(change{{e, heavy, to}, {f, to, none}})
 		}
 	}
 }
@@ -165,37 +172,31 @@
 
 // addDeltas sets delta to the effect of a change on the ranks' loads.
 func (s *placement) addDeltas(c change) {
-	s.addMove(c.expert, c.from, c.to)
-	if c.evicted < 0 {
-		return
-	}
-	to := -1
-	if c.swapped {
-		to = c.from
+	for _, m := range c.moves() {
+		s.addMove(m)
 	}
-	s.addMove(c.evicted, c.to, to)
 }
 
-// addMove adds the effect of taking an expert from a rank and giving it to another; -1 stands for no rank.
-func (s *placement) addMove(e, from, to int) {
-	holders := s.holders[e]
+// addMove adds the effect of a move to delta.
+func (s *placement) addMove(m move) {
+	holders := s.holders[m.expert]
 	before, after := len(holders), len(holders)
-	if from >= 0 {
+	if m.from != none {
 		after--
 	}
-	if to >= 0 {
+	if m.to != none {
 		after++
 	}
-	share, changed := s.demand[e]/float64(before), s.demand[e]/float64(max(1, after))
+	share, changed := s.demand[m.expert]/float64(before), s.demand[m.expert]/float64(max(1, after))
 	for _, h := range holders {
-		if h == from {
+		if h == m.from {
 			s.addDelta(h, -share)
 		} else if before != after {
 			s.addDelta(h, changed-share)
 		}
 	}
-	if to >= 0 {
-		s.addDelta(to, changed)
+	if m.to != none {
+		s.addDelta(m.to, changed)
 	}
 }
 
@@ -207,29 +208,19 @@
 		s.delta[r] = 0
 	}
 	s.touched = s.touched[:0]
-	s.move(c.expert, c.from, c.to)
-	if c.evicted >= 0 {
-		to := -1
-		if c.swapped {
-			to = c.from
+	for _, m := range c.moves() {
+		if m.from != none {
+			s.experts[m.from] = without(s.experts[m.from], m.expert)
+			s.holders[m.expert] = without(s.holders[m.expert], m.from)
+		}
+		if m.to != none {
+			s.experts[m.to] = append(s.experts[m.to], m.expert)
+			s.holders[m.expert] = append(s.holders[m.expert], m.to)
 		}
-		s.move(c.evicted, c.to, to)
 	}
 	s.findHeaviest()
 }
 
-// move takes an expert from a rank and gives it to another; -1 stands for no rank.
-func (s *placement) move(e, from, to int) {
-	if from >= 0 {
-		s.experts[from] = without(s.experts[from], e)
-		s.holders[e] = without(s.holders[e], from)
-	}
-	if to >= 0 {
-		s.experts[to] = append(s.experts[to], e)
-		s.holders[e] = append(s.holders[e], to)
-	}
-}
-
 // without removes the first item that equals x from list, in place.
 func without(list []int, x int) []int {
 	at := slices.Index(list, x)
--- a/coordination/leveler/plan.go
+++ b/coordination/leveler/plan.go
@@ -60,16 +60,11 @@
 // Skew returns the sum over all sets of the heaviest rank's load, divided by the sum of the mean loads. It is 1 if all
 // loads are equal.
 func Skew(layout rank.Layout, d Demand) float64 {
-	heaviest, mean := 0.0, 0.0
+	sets := make([]*placement, len(layout))
 	for i, ranks := range layout {
-		s := newPlacement(ranks, d.Set(i), 0, 0)
-		heaviest += s.load[s.heaviest]
-		mean += s.mean
+		sets[i] = newPlacement(ranks, d.Set(i), 0, 0)
 	}
-	if mean == 0 {
-		return 1
-	}
-	return heaviest / mean
+	return skewOf(sets)
 }
 
 // Propose returns the plan that gains most over the horizon, and false if none gains more than it costs.
@@ -77,11 +72,11 @@
 	if len(current) == 0 || d.Sets() != len(current) {
 		return Plan{}, false
 	}
-	before := Skew(current, d)
+	s := newSearch(current, d, b)
+	before := skewOf(s.sets)
 	if before-1 <= minGain {
 		return Plan{}, false
 	}
-	s := newSearch(current, d, b)
 	var best Plan
 	value, found := 0.0, false
 	for step := range budgetSteps {
--- a/coordination/leveler/search.go
+++ b/coordination/leveler/search.go
@@ -58,15 +58,9 @@
 		if !found {
 			continue
 		}
-		s.count(p, c.to, c.expert, 1)
-		if c.evicted >= 0 {
-			s.count(p, c.to, c.evicted, -1)
-		}
-		if c.from >= 0 {
-			s.count(p, c.from, c.expert, -1)
-		}
-		if c.swapped {
-			s.count(p, c.from, c.evicted, 1)
+		for _, m := range c.moves() {
+			s.count(p, m.to, m.expert, 1)
+			s.count(p, m.from, m.expert, -1)
 		}
 		p.apply(c)
 		return true
@@ -76,7 +70,7 @@
 
 // count adds n to the copies that a rank takes, unless it holds the expert in the layout in use and so need not copy it.
 func (s *search) count(p *placement, r, expert, n int) {
-	if slices.Contains(p.initial[r], expert) {
+	if r == none || slices.Contains(p.initial[r], expert) {
 		return
 	}
 	p.added[r] += n
@@ -86,16 +80,7 @@
 
 // plan returns the skew and the copies of the layout reached, without the layout itself.
 func (s *search) plan() Plan {
-	var p Plan
-	heaviest, mean := 0.0, 0.0
-	for _, set := range s.sets {
-		heaviest += set.load[set.heaviest]
-		mean += set.mean
-	}
-	p.After = 1
-	if mean > 0 {
-		p.After = heaviest / mean
-	}
+	p := Plan{After: skewOf(s.sets)}
 	for _, n := range s.taken {
 		p.Copies += n
 		p.Longest = max(p.Longest, n)
@@ -103,6 +88,19 @@
 	return p
 }
 
+// skewOf returns the sum over all sets of the heaviest rank's load, divided by the sum of the mean loads.
+func skewOf(sets []*placement) float64 {
+	heaviest, mean := 0.0, 0.0
+	for _, set := range sets {
+		heaviest += set.load[set.heaviest]
+		mean += set.mean
+	}
+	if mean == 0 {
+		return 1
+	}
+	return heaviest / mean
+}
+
 // layout returns the layout reached.
 func (s *search) layout() rank.Layout {
 	layout := make(rank.Layout, len(s.sets))
--- a/coordination/pacer/level.go
+++ b/coordination/pacer/level.go
@@ -15,9 +15,7 @@
 type Level struct {
 	limit, load     float64
 	maxGap, baseGap time.Duration
-	gapSum          time.Duration
-	gapCount        int
-	adjustedAt      time.Duration
+	gaps            gaps
 }
 
 // NewLevel returns a level at which all slots may be in use, without a target for gaps.
@@ -52,13 +50,11 @@
 		l.limit = 1
 		return l
 	}
-	l.gapSum += d
-	l.gapCount++
-	if now-l.adjustedAt < adjustInterval || l.gapCount < minGaps {
+	var mean time.Duration
+	var due bool
+	if l.gaps, mean, due = l.gaps.with(d, now); !due {
 		return l
 	}
-	mean := l.gapSum / time.Duration(l.gapCount)
-	l.gapSum, l.gapCount, l.adjustedAt = 0, 0, now
 	factor := gapFactor(l.maxGap, l.baseGap, mean)
 	switch {
 	case factor < 1:
@@ -69,10 +65,3 @@
 	l.limit = min(max(l.limit, minLevel), 1)
 	return l
 }
-
-// gapFactor returns the ratio of the target gap to the mean gap, each less the gap without work: the remainder grows in
-// proportion to the open requests.
-func gapFactor(maxGap, baseGap, mean time.Duration) float64 {
-	target := time.Duration(targetShare * float64(maxGap))
-	return float64(max(target-baseGap, time.Millisecond)) / float64(max(mean-baseGap, time.Millisecond))
-}
--- a/coordination/pacer/pace.go
+++ b/coordination/pacer/pace.go
@@ -23,9 +23,7 @@
 	limit, floor, ceiling float64
 	maxGap, baseGap       time.Duration
 	open                  int
-	gapSum                time.Duration
-	gapCount              int
-	adjustedAt            time.Duration
+	gaps                  gaps
 	meanGap               time.Duration
 }
 
@@ -81,13 +79,12 @@
 	if p.maxGap == 0 {
 		return p
 	}
-	p.gapSum += d
-	p.gapCount++
-	if now-p.adjustedAt < adjustInterval || p.gapCount < minGaps {
+	next, mean, due := p.gaps.with(d, now)
+	p.gaps = next
+	if !due {
 		return p
 	}
-	p.meanGap = p.gapSum / time.Duration(p.gapCount)
-	p.gapSum, p.gapCount, p.adjustedAt = 0, 0, now
+	p.meanGap = mean
 	return p.withAdjustedLimit()
 }
 
--- a/coordination/pacer/pressure.go
+++ b/coordination/pacer/pressure.go
@@ -1,12 +1,14 @@
 package pacer
 
-import "time"
+import (
+	"time"
+
+	"github.com/kingcupstile/kingcupstile/coordination/decayer"
+)
 
 const (
 	// pressureHalfLife is the half-life of the counts of refused and of all requests.
 	pressureHalfLife = time.Second
-	// minKeep is the share of a count below which its decay is not followed any further.
-	minKeep = 1e-6
 	// minRetryAfter is the retry delay while hardly any request is refused: room is then found within a pass or two.
 	minRetryAfter = 200 * time.Millisecond
 	// retryAfterPerShare is what the delay grows by with the share of requests that are refused: callers return once or
@@ -31,10 +33,7 @@
 }
 
 func (p Pressure) decayed(now time.Duration) Pressure {
-	keep := 1.0
-	for remaining := now - p.at; remaining > 0 && keep > minKeep; remaining -= pressureHalfLife {
-		keep *= 1 - min(1, float64(remaining)/float64(pressureHalfLife))/2
-	}
+	keep := decayer.Keep(now-p.at, pressureHalfLife)
 	p.refused, p.total, p.at = p.refused*keep, p.total*keep, now
 	return p
 }
--- a/coordination/placer/board.go
+++ b/coordination/placer/board.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/kingcupstile/kingcupstile/coordination/decayer"
 	"github.com/kingcupstile/kingcupstile/state/peer"
 	"github.com/kingcupstile/kingcupstile/state/runner"
 )
@@ -95,11 +96,7 @@
 	if !found {
 		return 0
 	}
-	halfLives := float64(now-f.at) / float64(failureHalfLife)
-	for ; halfLives >= 1; halfLives-- {
-		f.count /= 2
-	}
-	if left := f.count * (1 - max(0, halfLives)/2); left >= minFailures {
+	if left := f.count * decayer.Keep(now-f.at, failureHalfLife); left >= minFailures {
 		return left
 	}
 	return 0
