overseer, ranker, conductor: Do once what was done for each peer or order

What heartbeats have in common, with the links of the sender among up to 1,000 names, was computed again for each addressee of a round; HeartbeatsTo computes it once. A map was encoded whole before it was encoded as changes. An order was copied field by field to be passed on, so that a new field would have been lost. Whether a service is probed was decided in three places, whether a rank is quiescent in two. Counts of one rank are no longer asked for from another VM: the client's method is gone, the service stays for processes of earlier builds.

--- a/coordination/conductor/step.go
+++ b/coordination/conductor/step.go
@@ -159,7 +159,7 @@
 	isFirst := name == members[0] || name == holder(members)
 	switch s.phase {
 	case PhaseIdle:
-		return v.report.MapVersion != s.version || v.report.ArmedVersion != 0 || v.report.HeldStep != 0
+		return !s.isRankQuiescent(v.report)
 	case PhasePreparing:
 		return !s.hasPrepared(v)
 	case PhaseHolding, PhaseReleasing:
@@ -348,13 +348,18 @@
 // holds a step.
 func (s State) isQuiescent(members []string) bool {
 	for _, m := range members {
-		if r := s.view(m).report; r.MapVersion != s.version || r.ArmedVersion != 0 || r.HeldStep != 0 {
+		if !s.isRankQuiescent(s.view(m).report) {
 			return false
 		}
 	}
 	return true
 }
 
+// isRankQuiescent does the same for one rank.
+func (s State) isRankQuiescent(r rank.Report) bool {
+	return r.MapVersion == s.version && r.ArmedVersion == 0 && r.HeldStep == 0
+}
+
 // orderFor returns an order with the epoch and the number of orders of a runner's last report.
 func (s State) orderFor(verb rank.Verb, r rank.Report) rank.Order {
 	order := rank.Order{Verb: verb, Epoch: r.Epoch, ExpectedOrderCount: r.OrderCount, Version: s.version, Step: s.heldStep}
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -164,17 +164,26 @@
 
 // Heartbeat returns the heartbeat to send to another entry, given this entry's open work by runner.Key.
 func (s State) Heartbeat(to peer.Peer, open map[uint32]peer.InFlight, now time.Duration) peer.Heartbeat {
-	b := peer.Heartbeat{
+	return s.HeartbeatsTo([]peer.Peer{to}, open, now)[to.Beats]
+}
+
+// HeartbeatsTo returns the heartbeats to send to other entries by their addresses, as Heartbeat does for one.
+func (s State) HeartbeatsTo(list []peer.Peer, open map[uint32]peer.InFlight, now time.Duration) map[string]peer.Heartbeat {
+	common := peer.Heartbeat{
 		Name: s.self.Name, Start: s.self.Start, Ready: s.IsReady(now), Leaving: s.leaving, ConfigVersion: s.table.Version(),
-		ConfigAge: s.Age(now), RunnersRevision: s.runnersLast, Sent: now, InFlight: open,
+		ConfigAge: s.Age(now), RunnersRevision: s.runnersLast, Sent: now, InFlight: open, Silences: s.silences(now),
+		StoreUnreachable: s.unreachable,
 	}
-	e := s.peers[to.Name]
-	if e.heardAt > 0 {
-		b.Echo, b.EchoStart, b.EchoDelay = e.heartbeat.Sent, e.heartbeat.Start, now-e.heardAt
+	heartbeats := make(map[string]peer.Heartbeat, len(list))
+	for _, to := range list {
+		b, e := common, s.peers[to.Name]
+		if e.heardAt > 0 {
+			b.Echo, b.EchoStart, b.EchoDelay = e.heartbeat.Sent, e.heartbeat.Start, now-e.heardAt
+		}
+		b.Crashes = s.crashesFor(e, now)
+		heartbeats[to.Beats] = b
 	}
-	b.Crashes = s.crashesFor(e, now)
-	b.Silences, b.StoreUnreachable = s.silences(now), s.unreachable
-	return b
+	return heartbeats
 }
 
 // HeartbeatInterval returns the interval at which an entry sends heartbeats to each of the others.
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -94,7 +94,7 @@
 	s, _ := table.Service(service)
 	entries := len(state.Heartbeats(now)) + 1
 	bounds := pacer.BoundsFor(s, state.Runners().OfService(service), entries, gap)
-	if f.prober != nil && placer.IsProbed(entries, s.Engine()) {
+	if f.IsProbed(state, service, entries) {
 		bounds = pacer.Unbounded(s, gap)
 	}
 	value, found := f.gates.Load(service)
--- a/transport/forwarder/place.go
+++ b/transport/forwarder/place.go
@@ -43,7 +43,7 @@
 		view := f.tracker.View(heartbeats, now)
 		runners := state.Runners().OfService(x.service)
 		request := placer.Request{Centre: state.Self().Centre, Avoid: x.dispatch.Avoid()}
-		if f.prober == nil || !f.isProbed(state, x.service, len(heartbeats)+1) {
+		if !f.IsProbed(state, x.service, len(heartbeats)+1) {
 			return placed(view.Place(runners, request))
 		}
 		sample := placer.Sample(runners, request.WithAvoided(tried))
@@ -112,9 +112,10 @@
 	})
 }
 
-// isProbed reports whether the load of a service's runners is probed before each request.
-func (f *Forwarder) isProbed(state overseer.State, service string, entries int) bool {
+// IsProbed reports whether the load of a service's runners is probed before each request, so that heartbeats need not carry
+// it.
+func (f *Forwarder) IsProbed(state overseer.State, service string, entries int) bool {
 	table, _ := state.Table()
 	s, _ := table.Service(service)
-	return placer.IsProbed(entries, s.Engine())
+	return f.prober != nil && placer.IsProbed(entries, s.Engine())
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -229,19 +229,20 @@
 // ones. Linked entries get one in each round, and the others one in as many rounds as make up their interval.
 func (g *Gateway) heartbeats() (map[string]peer.Heartbeat, time.Duration) {
 	state, now := g.loop.Snapshot(), g.platform.Clock.Now()
-	open := g.tracker.Snapshot(g.isProbed(state, now))
-	heartbeats := map[string]peer.Heartbeat{}
-	for _, p := range state.Linked(now) {
-		heartbeats[p.Beats] = state.Heartbeat(p, open, now)
-	}
+	entries := len(state.Heartbeats(now)) + 1
+	open := g.tracker.Snapshot(func(id string) bool {
+		r, _ := state.Runners().Runner(id)
+		return g.forwarder.IsProbed(state, r.Service(), entries)
+	})
 	g.round++
 	rounds := int(state.HeartbeatInterval() / state.LinkInterval())
+	to := state.Linked(now)
 	for _, p := range state.Peers() {
-		if _, found := heartbeats[p.Beats]; !found && (g.round+int(runner.Key(p.Name)))%max(1, rounds) == 0 {
-			heartbeats[p.Beats] = state.Heartbeat(p, open, now)
+		if (g.round+int(runner.Key(p.Name)))%max(1, rounds) == 0 {
+			to = append(to, p)
 		}
 	}
-	return heartbeats, state.LinkInterval()
+	return state.HeartbeatsTo(to, open, now), state.LinkInterval()
 }
 
 // nearby returns a function that offers the copy of a kind at an entry that this one is linked to, if there is one.
@@ -262,17 +263,6 @@
 	}
 }
 
-// isProbed returns whether a runner's load is probed before each request, so that heartbeats need not carry it.
-func (g *Gateway) isProbed(state overseer.State, now time.Duration) func(id string) bool {
-	entries := len(state.Heartbeats(now)) + 1
-	table, _ := state.Table()
-	return func(id string) bool {
-		r, _ := state.Runners().Runner(id)
-		s, _ := table.Service(r.Service())
-		return placer.IsProbed(entries, s.Engine())
-	}
-}
-
 func (g *Gateway) receiveHeartbeat(b peer.Heartbeat) {
 	g.send(overseer.HeartbeatReceived{Heartbeat: b, At: g.platform.Clock.Now()})
 }
--- a/transport/ranker/client.go
+++ b/transport/ranker/client.go
@@ -59,17 +59,6 @@
 	return rank.Report{}, decodeError("report", err)
 }
 
-// Counts returns how often the rank's requests chose each expert; only the sidecar is asked, as counts are read on the
-// rank's own VM only.
-func (c *Client) Counts(ctx context.Context) (rank.Counts, error) {
-	m, err := c.sidecar.Counts(ctx, &wire.RankRequest{})
-	if err != nil {
-		c.isUnanswered(err)
-		return rank.Counts{}, decodeError("count", err)
-	}
-	return rank.Counts{Epoch: m.GetEpoch(), Step: m.GetStep(), Counts: m.GetCounts()}, nil
-}
-
 // Holdings returns which experts the rank holds for the map in use and for the map that it has prepared.
 func (c *Client) Holdings(ctx context.Context) (rank.Holdings, error) {
 	call, cancel := context.WithTimeout(ctx, c.timeout)
--- a/transport/ranker/group.go
+++ b/transport/ranker/group.go
@@ -122,9 +122,9 @@
 // Execute sends the targets an order and passes the results to deliver, in any number of parts and from several
 // goroutines; with an empty verb, it asks for reports only. It returns when all targets are answered for.
 func (g *Group) Execute(ctx context.Context, o rank.Order, targets []Target, deliver func([]Result)) {
-	m := messenger.EncodeOrder(o)
-	if changed, encoded := messenger.EncodeChangedOrder(o); encoded {
-		m = changed
+	m, encoded := messenger.EncodeChangedOrder(o)
+	if !encoded {
+		m = messenger.EncodeOrder(o)
 	}
 	var wait sync.WaitGroup
 	for _, part := range g.parts(targets) {
--- a/transport/ranker/relay.go
+++ b/transport/ranker/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/coordination/executor"
@@ -58,11 +59,9 @@
 	c := s.group.client(address)
 	call, cancel := context.WithTimeout(ctx, c.orderTimeout(o.Verb))
 	defer cancel()
-	reply, err := c.sidecar.Give(call, &wire.RankOrder{
-		Verb: m.GetVerb(), Epoch: m.GetEpoch(), Orders: o.ExpectedOrderCount, Version: m.GetVersion(), Step: m.GetStep(), Sets: m.GetSets(),
-		Base: m.GetBase(), Changes: m.GetChanges(), Sum: m.GetSum(), SetCount: m.GetSetCount(), ExpertCount: m.GetExpertCount(),
-		RankCount: m.GetRankCount(),
-	})
+	own := proto.CloneOf(m)
+	own.Orders = o.ExpectedOrderCount
+	reply, err := c.sidecar.Give(call, own)
 	switch {
 	case err == nil:
 		return reply
--- a/worker.go
+++ b/worker.go
@@ -23,8 +23,6 @@
 type Executor interface {
 	// Report returns the rank's report of its own state.
 	Report(ctx context.Context) (rank.Report, error)
-	// Counts returns the number of times that the rank's requests chose each expert.
-	Counts(ctx context.Context) (rank.Counts, error)
 	// Holdings returns the experts that the rank holds, in the map in use and in the prepared one.
 	Holdings(ctx context.Context) (rank.Holdings, error)
 	// Execute sends an order and returns the rank's state after it; for a map, once the rank has copied it.
