--- a/transport/beater/beater.go
+++ b/transport/beater/beater.go
@@ -6,16 +6,14 @@
 	"net"
 	"time"
 
-	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger"
 	"github.com/kingcupstile/kingcupstile/state/peer"
+	"github.com/kingcupstile/kingcupstile/transport/receiver"
 )
 
 const (
 	// maxDatagramSize is the size in bytes of the buffer for a received datagram.
 	maxDatagramSize = 64 << 10
-	// readErrorPause is the pause after a failed read, so that a lasting error does not take the processor.
-	readErrorPause = 50 * time.Millisecond
 )
 
 // Beater sends and receives heartbeats on one UDP socket.
@@ -32,8 +30,6 @@
 // Run sends heartbeats and passes received ones to receive until ctx ends. Each round sends the heartbeats that next
 // returns, by address, and then waits for the interval that it returns.
 func (b *Beater) Run(ctx context.Context, next func() (map[string]peer.Heartbeat, time.Duration), receive func(peer.Heartbeat)) {
-	stop := context.AfterFunc(ctx, func() { _ = b.socket.Close() })
-	defer stop()
 	go b.receive(ctx, receive)
 	for {
 		heartbeats, interval := next()
@@ -66,21 +62,12 @@
 }
 
 func (b *Beater) receive(ctx context.Context, handle func(peer.Heartbeat)) {
-	buffer := make([]byte, maxDatagramSize)
-	for {
-		n, _, err := b.socket.ReadFrom(buffer)
-		if err != nil {
-			if !pauser.Wait(ctx, readErrorPause) {
-				return
-			}
-			b.log.Warn("reading heartbeats failed; reading on", "error", err)
-			continue
-		}
-		heartbeat, err := messenger.DecodeEntryHeartbeat(buffer[:n])
+	receiver.Receive(ctx, b.socket, maxDatagramSize, func(datagram []byte, _ net.Addr) {
+		heartbeat, err := messenger.DecodeEntryHeartbeat(datagram)
 		if err != nil {
 			b.log.Warn("datagram is not a valid heartbeat; ignored", "error", err)
-			continue
+			return
 		}
 		handle(heartbeat)
-	}
+	}, func(err error) { b.log.Warn("reading heartbeats failed; reading on", "error", err) })
 }
--- a/transport/prober/server.go
+++ b/transport/prober/server.go
@@ -6,9 +6,9 @@
 	"net"
 	"time"
 
-	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 	"github.com/kingcupstile/kingcupstile/coordination/reserver"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger"
+	"github.com/kingcupstile/kingcupstile/transport/receiver"
 )
 
 // Serve answers the probes that arrive at a socket until ctx ends, and then closes the socket. It does not answer while
@@ -36,25 +36,11 @@
 	})
 }
 
-// readErrorPause is the pause after a failed read, so that a lasting error does not take the processor.
-const readErrorPause = 50 * time.Millisecond
-
 // receive passes each datagram to handle until ctx ends, and then closes the socket.
 func receive(ctx context.Context, socket net.PacketConn, log *slog.Logger, handle func(datagram []byte, from net.Addr) error) {
-	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
-	defer stop()
-	buffer := make([]byte, maxDatagramSize)
-	for {
-		n, from, err := socket.ReadFrom(buffer)
-		if err != nil {
-			if !pauser.Wait(ctx, readErrorPause) {
-				return
-			}
-			log.Debug("reading a load probe failed; reading on", "error", err)
-			continue
-		}
-		if err := handle(buffer[:n], from); err != nil {
+	receiver.Receive(ctx, socket, maxDatagramSize, func(datagram []byte, from net.Addr) {
+		if err := handle(datagram, from); err != nil {
 			log.Debug("load probe not answered", "from", from, "error", err)
 		}
-	}
+	}, func(err error) { log.Debug("reading a load probe failed; reading on", "error", err) })
 }
