--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -42,15 +42,19 @@
 	version int
 }
 
-// freeAddress returns a loopback address with an unused TCP port.
-func freeAddress(t *testing.T) string {
+// freeAddresses returns loopback addresses with unused TCP ports, all different: each is held until all are found.
+func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	addresses := make([]string, n)
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		addresses[i] = l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return addresses
 }
 
 // freePort returns an unused UDP port on loopback.
@@ -76,9 +80,10 @@
 		d.add("pool-"+name, "pool")
 		d.add("desk-"+name, "desk")
 	}
+	addresses := freeAddresses(t, 3)
 	d.settings = parser.PlatformSettings{
 		Role: "entry", Name: "entry-1", Centre: "z", Region: "r", IP: "127.0.0.1", Store: server.Listener.Addr().String(),
-		Callers: freeAddress(t), Ready: freeAddress(t), Lookup: freeAddress(t), InternalPorts: []int{freePort(t)},
+		Callers: addresses[0], Ready: addresses[1], Lookup: addresses[2], InternalPorts: []int{freePort(t)},
 		Grace: 2 * time.Second, RevocationTime: revoke, RetryRatio: 0.2, RetryBurst: 90,
 	}
 	d.start()
