forwarder: Log what tells the causes of a crash apart

The logs did not say which parts the unanswered requests at a lost runner shared, whether a request had begun to be answered, or when refused callers were told to return. The lines of failed attempts and requests say so now.

--- a/state/demand/demand.go
+++ b/state/demand/demand.go
@@ -1,6 +1,9 @@
 package demand
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Request holds the parameters that a caller sends in the head of a request.
 type Request struct {
@@ -22,6 +25,18 @@
 	LastEvent string
 }
 
+// SharedParts returns the distinct parts of the prompt that other requests may share: all but the last, and none without
+// a name.
+func (r Request) SharedParts() []string {
+	var shared []string
+	for _, part := range r.PromptParts[:max(0, len(r.PromptParts)-1)] {
+		if part != "" && !slices.Contains(shared, part) {
+			shared = append(shared, part)
+		}
+	}
+	return shared
+}
+
 // Target holds the runner that a request is sent to, and what the runner is told besides the caller's own header.
 type Target struct {
 	// Runner is the identifier of the only runner that may execute the request; any other must refuse it.
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -127,6 +127,15 @@
 	return suspect.Identify(x.service+" "+x.access.account.Name(), x.httpRequest.Method, x.httpRequest.RequestURI, x.body)
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the parts of the prompt that other requests may share, as logs show them.
+func (x *exchange) loggedParts() []string {
+	parts := x.request.SharedParts()
+	return parts[:min(len(parts), maxLoggedParts)]
+}
+
 // forward writes a frame to the caller and reports whether the exchange is over: the answer is complete or the caller
 // is gone.
 func (x *exchange) forward(f attempt.Frame) bool {
@@ -161,7 +170,7 @@
 		"request", x.request.ID, "outcome", action.Outcome, "reason", action.Reason,
 		"status", r.status, "runner", x.runner.ID(), "attempts", x.dispatch.Number(), "event", x.lastEvent, "version", x.access.version,
 		"ms", (x.forwarder.clock.Now() - x.arrivedAt).Milliseconds(), "caller_left", callerLeft, "expired", ctx.Err() != nil,
-		"detail", x.lastFailure)
+		"detail", x.lastFailure, "retry_ms", r.retryAfter.Milliseconds())
 	x.count(action.Reason)
 	if x.writer.started {
 		x.writer.abort()
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -338,6 +338,7 @@
 		x.forwarder.reportCrash(x.fingerprint(), c.runner.ID())
 	}
 	x.forwarder.log.Info("attempt at runner failed; retrying if it is safe and the limits on attempts and retries allow it",
-		"request", x.request.ID, "runner", c.runner.ID(), "service", x.service, "sent", sent, "error", err)
+		"request", x.request.ID, "runner", c.runner.ID(), "service", x.service, "sent", sent, "answered", c.lastEventAt > 0,
+		"closed_by_runner", conduit.IsClosedByPeer(err), "parts", x.loggedParts(), "error", err)
 	return dispatcher.ConnectionFailed{Sent: sent}
 }
