--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -53,10 +53,16 @@
 	runs          []Run
 	disconnects   int
 	crashBody     string
+	crashPart     string
+	crashes       int
+	// crashed is closed and replaced at each crash.
+	crashed chan struct{}
 }
 
 // NewRunner returns a runner without faults whose streams have 5 events, 1 ms apart.
-func NewRunner(id string) *Runner { return &Runner{id: id, Events: 5, EventInterval: time.Millisecond} }
+func NewRunner(id string) *Runner {
+	return &Runner{id: id, Events: 5, EventInterval: time.Millisecond, crashed: make(chan struct{})}
+}
 
 // SetFault applies a fault to all requests received from now on; FaultNone clears it.
 func (r *Runner) SetFault(f Fault) {
@@ -72,6 +78,37 @@
 	r.crashBody = body
 }
 
+// CrashOnPart makes the runner crash as it begins to answer a request with this part in its prompt, unless it is the last:
+// the connections of all streams end at once.
+func (r *Runner) CrashOnPart(part string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashPart = part
+}
+
+// Crashes returns how often the runner crashed on a part.
+func (r *Runner) Crashes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashes
+}
+
+// crashesOn reports whether the runner crashes on a request, and counts that.
+func (r *Runner) crashesOn(q *http.Request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	parts := strings.Split(q.Header.Get("X-Prefix-Hash"), ",")
+	for _, part := range parts[:len(parts)-1] {
+		if name, _, _ := strings.Cut(strings.TrimSpace(part), ":"); r.crashPart != "" && name == r.crashPart {
+			r.crashes++
+			close(r.crashed)
+			r.crashed = make(chan struct{})
+			return true
+		}
+	}
+	return false
+}
+
 // Runs returns the requests that the runner accepted, in order; shed and misdirected ones are left out.
 func (r *Runner) Runs() []Run {
 	r.mu.Lock()
@@ -165,6 +202,15 @@
 		after = 0
 	}
 	control := http.NewResponseController(w)
+	r.mu.Lock()
+	crashed := r.crashed
+	r.mu.Unlock()
+	if r.crashesOn(q) {
+		w.WriteHeader(http.StatusOK)
+		_ = control.Flush()
+		r.crash(control)
+		return
+	}
 	for n := after + 1; n <= r.Events; n++ {
 		if fault == FaultTruncated && n == after+3 {
 			r.truncate(control, n)
@@ -176,6 +222,9 @@
 		_ = control.Flush()
 		select {
 		case <-time.After(r.EventInterval):
+		case <-crashed:
+			r.crash(control)
+			return
 		case <-q.Context().Done():
 			r.awaitDisconnect(q)
 			return
