forwarder: Count a refusal against the runner at the address it names

A runner that refuses a request names the runner at fault by its address, and the failure was counted under that text, which is the identifier of no runner: refusals never kept further requests from going to the same runner. TestRefusalCountsAgainstTheRunnerAtTheAddress failed before (6 of 6 requests were sent to the runner that refuses, and now 1).

--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -55,6 +55,7 @@
 	crashBody     string
 	crashPart     string
 	crashes       int
+	refusals      int
 	// crashed is closed and replaced at each crash.
 	crashed chan struct{}
 }
@@ -93,6 +94,13 @@
 	return r.crashes
 }
 
+// Refusals returns how many requests the runner refused for FaultShed.
+func (r *Runner) Refusals() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refusals
+}
+
 // crashesOn reports whether the runner crashes on a request, and counts that.
 func (r *Runner) crashesOn(q *http.Request) bool {
 	r.mu.Lock()
@@ -138,8 +146,12 @@
 		return
 	}
 	if fault == FaultShed {
+		r.refusals++
 		r.mu.Unlock()
 		w.Header().Set("X-Not-Executed", "1")
+		if own, ok := q.Context().Value(http.LocalAddrContextKey).(net.Addr); ok {
+			w.Header().Set("At-Server", own.String())
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/state/demand/demand.go
+++ b/state/demand/demand.go
@@ -59,8 +59,8 @@
 	NotRun bool
 	// Misdirected reports that a runner other than the intended one answered at the address; it implies NotRun.
 	Misdirected bool
-	// FailedRunner is the identifier of the runner whose failure kept this one from executing the request, empty if
-	// unknown.
+	// FailedRunner is the IP address and port, or the identifier, of the runner that kept this one from executing the
+	// request, empty if unknown.
 	FailedRunner string
 	// Sealed reports that the answer carries the runner's seal, and so comes from the runner itself.
 	Sealed bool
--- a/state/runner/set.go
+++ b/state/runner/set.go
@@ -6,10 +6,11 @@
 	"slices"
 )
 
-// Set is the set of registered runners, indexed by identifier and by service.
+// Set is the set of registered runners, indexed by identifier, by service and by address.
 type Set struct {
 	byID      map[string]Runner
 	byService map[string][]Runner
+	byAddress map[string]Runner
 }
 
 // NewSet returns a set of runners.
@@ -23,9 +24,12 @@
 
 // indexed returns the set of the given runners with its index by service.
 func indexed(byID map[string]Runner) Set {
-	s := Set{byID: byID, byService: map[string][]Runner{}}
+	s := Set{byID: byID, byService: map[string][]Runner{}, byAddress: make(map[string]Runner, len(byID))}
 	for _, r := range byID {
 		s.byService[r.service] = append(s.byService[r.service], r)
+		if known, found := s.byAddress[r.address]; !found || known.startedAt < r.startedAt {
+			s.byAddress[r.address] = r
+		}
 	}
 	for _, list := range s.byService {
 		slices.SortFunc(list, func(a, b Runner) int { return cmp.Compare(a.id, b.id) })
@@ -39,6 +43,13 @@
 	return r, ok
 }
 
+// AtAddress returns the runner at an IP address and port, the one that started last if several are registered there, and
+// false if there is none.
+func (s Set) AtAddress(address string) (Runner, bool) {
+	r, ok := s.byAddress[address]
+	return r, ok
+}
+
 // OfService returns a service's runners in order of identifiers, which the caller must not change.
 func (s Set) OfService(service string) []Runner { return s.byService[service] }
 
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -183,7 +183,9 @@
 func (c *call) handleRefusal(reply demand.Reply) dispatcher.Event {
 	x := c.exchange
 	failedRunner, reason := c.runner.ID(), reasonRefused
-	if reply.FailedRunner != "" {
+	if at, found := x.forwarder.snapshot().Runners().AtAddress(reply.FailedRunner); found {
+		failedRunner = at.ID()
+	} else if reply.FailedRunner != "" {
 		failedRunner = reply.FailedRunner
 	}
 	if reply.Misdirected {
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -334,6 +334,22 @@
 	}
 }
 
+// TestRefusalCountsAgainstTheRunnerAtTheAddress has the runner that is tried first refuse requests, and name itself by its
+// address as what failed: once it has, requests go to the other one first.
+func TestRefusalCountsAgainstTheRunnerAtTheAddress(t *testing.T) {
+	d := newDeployment(t)
+	d.moveAway("pool-b", "pool")
+	d.runners["pool-a"].SetFault(site.FaultShed)
+	for range 6 {
+		if a := d.call(http.MethodPost, "/draft/x", "", nil); a.body != events(1, 5) {
+			t.Errorf("got %+v", a)
+		}
+	}
+	if n := d.runners["pool-a"].Refusals(); n != 1 {
+		t.Errorf("%d of 6 requests were sent to the runner that refuses", n)
+	}
+}
+
 // TestStreamIsResumedElsewhere has the runner in the entry's own data centre, which is tried first, fail in the middle of
 // its streams.
 func TestStreamIsResumedElsewhere(t *testing.T) {
