quarantiner: Try a suspect by the odds that it is the cause

A deadly part in every third request of a kind was tried, and crashed a second runner, after as many refusals as the loss had cost; one of several suspects, most of which are sound, waited as long as a sole one. The threshold is the cost times the odds now, with the guilt shared among the suspects of a loss. A request with all suspects of a loss counts as one with its sole suspect.

--- a/coordination/quarantiner/quarantiner.go
+++ b/coordination/quarantiner/quarantiner.go
@@ -18,6 +18,8 @@
 	refusalFactor = 4
 	// maxRefusal bounds that time.
 	maxRefusal = 60 * 24 * time.Hour
+	// priorGuilt is the probability that one of the suspects of a loss caused it.
+	priorGuilt = 2.0 / 3
 	// suspectRetryAfter is the retry delay for a part that may be tried and found sound at any time.
 	suspectRetryAfter = 2 * time.Second
 )
@@ -81,18 +83,23 @@
 	return held
 }
 
-// IsTrialDue reports whether a request that is held back for some parts may be tried. The trial of a suspect is due once
-// more requests were refused for each of its parts than the loss of the runner cost, so that neither the refusals of a sound part
-// nor the trial of a deadly one cost much more than was unavoidable. A part that others also stand beside takes longer, as
-// a failure tells less.
+// IsTrialDue reports whether a request that is held back for some parts may be tried. The trial of suspects is due once the
+// requests that were refused for each outweigh the cost of the loss, times the odds that the trial ends like it: neither
+// the refusals of a sound part nor the trial of a deadly one then cost much more than was unavoidable.
 func IsTrialDue(held []Held, refused func(suspect.Part) int, cost int, now time.Duration) bool {
+	guilt := 0.0
+	for _, h := range held {
+		guilt += priorGuilt / float64(max(1, h.Strikes.Suspects))
+	}
+	guilt = min(guilt, priorGuilt)
+	threshold := float64(max(1, cost)) * guilt / (1 - guilt)
 	for _, h := range held {
 		isSuspect := VerdictOn(h.Strikes) == suspect.VerdictSuspect
 		switch {
 		case now-h.Strikes.Last < knownAfter:
 			return false
 		case now >= ReleasedAt(h.Strikes):
-		case !isSuspect || refused(h.Part) < len(held)*max(1, cost):
+		case !isSuspect || float64(refused(h.Part)) < threshold:
 			return false
 		}
 	}
--- a/state/suspect/parts.go
+++ b/state/suspect/parts.go
@@ -19,6 +19,8 @@
 	Count int
 	// Last is the time of the latest loss.
 	Last time.Duration
+	// Suspects is the number of parts, this one included, to which the latest loss is due alike.
+	Suspects int
 	// New reports that the part was never answered.
 	New bool
 }
@@ -150,17 +152,17 @@
 	}
 	counted := map[Part]Strikes{}
 	for part, e := range byPart {
-		var due []Loss
 		open := e.openLosses()
 		own := attributed{isNew: e.isNew(), incidents: incidents(open)}
+		var due []Loss
+		suspects := 0
 		for _, l := range open {
-			explained := slices.ContainsFunc(byRunner[l.Runner], func(a attributed) bool { return a.loss.isSame(l) && a.explainsBetter(own) })
-			if !explained {
-				due = append(due, l)
+			if n, isDue := own.countSuspects(l, byRunner[l.Runner]); isDue {
+				due, suspects = append(due, l), n
 			}
 		}
 		if len(due) > 0 {
-			counted[part] = Strikes{Count: incidents(due), Last: due[len(due)-1].At, New: e.isNew()}
+			counted[part] = Strikes{Count: incidents(due), Last: due[len(due)-1].At, Suspects: suspects, New: e.isNew()}
 		}
 	}
 	return counted
@@ -173,6 +175,21 @@
 	incidents int
 }
 
+// countSuspects returns how many parts explain a loss as well as this one, itself included, and false if one explains it
+// better.
+func (a attributed) countSuspects(l Loss, others []attributed) (n int, isDue bool) {
+	for _, other := range others {
+		switch {
+		case !other.loss.isSame(l):
+		case other.explainsBetter(a):
+			return 0, false
+		case !a.explainsBetter(other):
+			n++
+		}
+	}
+	return n, true
+}
+
 func (a attributed) explainsBetter(b attributed) bool {
 	if a.isNew != b.isNew {
 		return a.isNew
