placer, forwarder: Send nothing to a runner that wants nothing for some time

Where all rest, requests are refused at once and told to return when the first rest ends.

TestAllRunnersWantNothing failed before. TestRunnerThatWantsNothingGetsNothing and TestBadRetryAfterIsADefault pass on the code before, too, by the count of failures.

--- a/coordination/placer/board.go
+++ b/coordination/placer/board.go
@@ -30,6 +30,7 @@
 	open        map[string]peer.InFlight
 	failures    map[string]failure
 	lastAnswers map[string]time.Duration
+	rests       map[string]rest
 }
 
 // failure is a runner's failure count as of a time, from which on it decays.
@@ -40,7 +41,9 @@
 
 // NewTracker returns a tracker without open work or failures.
 func NewTracker() *Tracker {
-	return &Tracker{open: map[string]peer.InFlight{}, failures: map[string]failure{}, lastAnswers: map[string]time.Duration{}}
+	return &Tracker{
+		open: map[string]peer.InFlight{}, failures: map[string]failure{}, lastAnswers: map[string]time.Duration{}, rests: map[string]rest{},
+	}
 }
 
 // Begin adds a request with a number of prompt tokens to a runner's open work. The caller must call read once the
@@ -82,11 +85,15 @@
 	b.failures[id] = failure{count: min(b.decayedFailures(id, now)+1, maxFailures), at: now}
 }
 
-// ClearFailures resets a runner's failure count after a successful request.
+// ClearFailures resets a runner's failure count after a successful request. A runner that was asked again during a long rest
+// has room.
 func (b *Tracker) ClearFailures(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.failures, id)
+	if b.rests[id].trials > 0 {
+		delete(b.rests, id)
+	}
 }
 
 // decayedFailures returns a runner's failure count after its decay until now: halved for each half-life, linear
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -53,6 +53,7 @@
 	fault         Fault
 	runs          []Run
 	disconnects   int
+	retryAfter    string
 	crashBody     string
 	crashPart     string
 	crashes       int
@@ -73,6 +74,13 @@
 	r.fault = f
 }
 
+// SetRetryAfter sets the Retry-After of the answers of FaultShed; it is left out if the text is empty.
+func (r *Runner) SetRetryAfter(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retryAfter = text
+}
+
 // CrashOnBody makes the runner reset the connection of each request with this body before it answers, as a crash does.
 func (r *Runner) CrashOnBody(body string) {
 	r.mu.Lock()
@@ -148,6 +156,9 @@
 	}
 	if fault == FaultShed {
 		r.refusals++
+		if r.retryAfter != "" {
+			w.Header().Set("Retry-After", r.retryAfter)
+		}
 		r.mu.Unlock()
 		w.Header().Set("X-Not-Executed", "1")
 		if own, ok := q.Context().Value(http.LocalAddrContextKey).(net.Addr); ok {
--- a/state/demand/demand.go
+++ b/state/demand/demand.go
@@ -62,6 +62,10 @@
 	// FailedRunner is the IP address and port, or the identifier, of the runner that kept this one from executing the
 	// request, empty if unknown.
 	FailedRunner string
+	// Refused reports that the runner has no room and wants no further request for RetryAfter. HasInvalidRetryAfter is set if
+	// it gave a time that cannot be read, in place of which RetryAfter is a default.
+	Refused, HasInvalidRetryAfter bool
+	RetryAfter                    time.Duration
 	// Sealed reports that the answer carries the runner's seal, and so comes from the runner itself.
 	Sealed bool
 }
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -41,6 +41,8 @@
 	endTrial func()
 	// lostRunner is whether a runner was lost before it began to answer the request.
 	lostRunner bool
+	// restEnd is when the first runner wants requests again, 0 if one does now.
+	restEnd time.Duration
 	// denied is the refusal that forbids any further attempt, nil if there is none.
 	denied *refusal
 	// lastFailure is why the last attempt failed, for the log.
@@ -103,9 +105,11 @@
 		return dispatcher.NoEndpointLeft{}
 	case room == roomFull:
 		pressure := x.gate.RecordRequest(true, now)
-		x.denied = &refusal{
-			status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: x.retryAfter(pressure.RetryAfter(rand.Float64())),
+		retryAfter := x.retryAfter(pressure.RetryAfter(rand.Float64()))
+		if x.restEnd > now {
+			retryAfter = max(retryAfter, time.Duration(float64(x.restEnd-now)*(1+rand.Float64()/4)))
 		}
+		x.denied = &refusal{status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: retryAfter}
 		return dispatcher.SendDenied{Reason: reasonFull}
 	}
 	if x.dispatch.Number() == 1 {
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -150,6 +150,7 @@
 	x := c.exchange
 	answer := c.connection.Answer() //nolint:bodyclose // closing the exchange closes the body
 	reply := x.forwarder.dialect.ParseReply(answer.StatusCode, answer.Header)
+	x.forwarder.recordReply(c.runner.ID(), reply)
 	success := isSuccess(answer.StatusCode)
 	switch {
 	case reply.ID != "" && reply.ID != x.request.ID:
@@ -171,6 +172,18 @@
 	return c.readWhole(ctx)
 }
 
+// recordReply records what the head of an answer, to whatever request, says of the runner that sent it.
+func (f *Forwarder) recordReply(runner string, reply demand.Reply) {
+	now := f.clock.Now()
+	if reply.HasInvalidRetryAfter {
+		f.scope.Counter("invalid_retry_after").Inc(1)
+		f.log.Warn("runner gave a Retry-After that cannot be read; taking the default", "runner", runner, "default", reply.RetryAfter)
+	}
+	if reply.Refused {
+		f.tracker.RecordRest(runner, reply.RetryAfter, now)
+	}
+}
+
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
--- a/transport/forwarder/place.go
+++ b/transport/forwarder/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/kingcupstile/kingcupstile/coordination/overseer"
@@ -34,6 +35,16 @@
 // place chooses the runner for the next attempt. The first attempt of a request waits a while for room where the load of
 // runners is probed; later ones go to the least loaded runner, as what was begun is finished first.
 func (x *exchange) place(ctx context.Context) (runner.Runner, room) {
+	for {
+		chosen, found := x.choose(ctx)
+		if found != roomFound || x.forwarder.tracker.Admit(chosen.ID(), x.forwarder.clock.Now()) {
+			return chosen, found
+		}
+	}
+}
+
+// choose does as place, but for runners that want no requests it only avoids those of which this is certain.
+func (x *exchange) choose(ctx context.Context) (runner.Runner, room) {
 	f := x.forwarder
 	until := x.arrivedAt + x.access.route.LatencyTarget()/waitDivisor
 	var tried []string
@@ -42,7 +53,10 @@
 		heartbeats := state.Heartbeats(now)
 		view := f.tracker.View(heartbeats, now)
 		runners := state.Runners().OfService(x.service)
-		request := placer.Request{Centre: state.Self().Centre, Avoid: x.dispatch.Avoid()}
+		request := placer.Request{Centre: state.Self().Centre, Avoid: x.dispatch.Avoid()}.WithAvoided(f.tracker.Resting(now))
+		if x.restEnd = x.nextRestEnd(runners, now); x.restEnd > now {
+			return runner.Runner{}, roomFull
+		}
 		if !f.IsProbed(state, x.service, len(heartbeats)+1) {
 			return placed(view.Place(runners, request))
 		}
@@ -72,6 +86,25 @@
 	}
 }
 
+// nextRestEnd returns when the first runner wants requests again if all that take new work and were not tried yet want none
+// now, else 0.
+func (x *exchange) nextRestEnd(runners []runner.Runner, now time.Duration) time.Duration {
+	first := time.Duration(0)
+	resting := x.forwarder.tracker.Resting(now)
+	for _, r := range runners {
+		if !r.IsReady() || slices.Contains(x.dispatch.Avoid(), r.ID()) {
+			continue
+		}
+		if !slices.Contains(resting, r.ID()) {
+			return 0
+		}
+		if end := x.forwarder.tracker.RestEnd(r.ID(), now); first == 0 || end < first {
+			first = end
+		}
+	}
+	return first
+}
+
 // takesWork reports whether a runner is registered and takes new work now.
 func (f *Forwarder) takesWork(r runner.Runner) bool {
 	registered, found := f.snapshot().Runners().Runner(r.ID())
