overseer, forwarder: Send nothing more to a runner that says it leaves

Entries knew of a runner's leaving from the store only: one that never reports it there, or while the store cannot be reached, went on to get requests. Whatever answer says it, also a refusal, an error, one that breaks off or belongs to another request, the runner is marked as leaving in the control state, over what listings say, until it starts anew, is registered as draining, or stays registered for ten minutes. Heartbeats tell the others, who take it for 5 s after each report and don't pass it on, so that a wrong or old one ends.

TestLeavingRunnerGetsNoMoreRequests failed before for an answer, with the store reachable and down; the other kinds of answers pass on the code before by the count of failures, which ends within seconds.

--- a/coordination/overseer/event.go
+++ b/coordination/overseer/event.go
@@ -75,6 +75,12 @@
 	At    time.Duration
 }
 
+// RunnerLeaves reports that a runner said in an answer that it leaves.
+type RunnerLeaves struct {
+	Runner string
+	At     time.Duration
+}
+
 // Tick makes Step apply what is due at a time; it is sent at short intervals.
 type Tick struct{ At time.Duration }
 
@@ -91,6 +97,7 @@
 func (HeartbeatReceived) isEvent() {}
 func (RunnerCrashed) isEvent()     {}
 func (PartsAnswered) isEvent()     {}
+func (RunnerLeaves) isEvent()      {}
 func (Tick) isEvent()              {}
 func (Leave) isEvent()             {}
 
--- a/coordination/overseer/step.go
+++ b/coordination/overseer/step.go
@@ -38,8 +38,10 @@
 		return s.withCrash(e)
 	case PartsAnswered:
 		return s.withPartsAnswered(e)
+	case RunnerLeaves:
+		return s.withLeaver(e)
 	case Tick:
-		return s.withTicked(e.At).withoutExpiredCrashes(e.At).withoutExpiredParts(e.At).tick(e.At)
+		return s.withTicked(e.At).withoutExpiredCrashes(e.At).withoutExpiredParts(e.At).withoutExpiredLeavers(e.At).tick(e.At)
 	case Leave:
 		s.leaving = true
 		return s, []Effect{Log{Message: "entry leaves"}}
@@ -112,6 +114,7 @@
 		}
 	}
 	s.runners, s.hasRunners = next, true
+	s = s.withLeaversMarked()
 	return s, append(effects, Log{Message: "runners listed", Args: []any{"runners", next.Len(), "in doubt", len(s.retained)}})
 }
 
@@ -127,7 +130,7 @@
 		switch {
 		case !c.Removed && c.Valid:
 			delete(s.retained, c.Name)
-			s.runners = s.runners.WithRunners(c.Item)
+			s = s.withRegistered(c.Item)
 			registered++
 			if registered > maxLoggedRunners {
 				continue
@@ -199,7 +202,7 @@
 		e.returnedAt = at
 	}
 	e.heartbeat, e.heardAt = b, at
-	s = s.withEntry(e).withRelayedAge(b, at).withSilences(b, at).withRelayedOutage(b, at).withInformed(b)
+	s = s.withEntry(e).withRelayedAge(b, at).withSilences(b, at).withRelayedOutage(b, at).withInformed(b).withPeerLeavers(b, at)
 	s, lost := s.withPeerCrashes(b, at)
 	s, judged := s.withPeerParts(b, at)
 	return s, append(lost, judged...)
--- a/protocol/messenger/entry.go
+++ b/protocol/messenger/entry.go
@@ -18,7 +18,7 @@
 	m := &wire.EntryBeat{
 		Name: b.Name, Start: b.Start, Ready: b.Ready, Leaving: b.Leaving, Version: b.ConfigVersion, Age: b.ConfigAge.Microseconds(),
 		Runners: b.RunnersRevision, Sent: b.Sent.Microseconds(), Echo: b.Echo.Microseconds(), Held: b.EchoDelay.Microseconds(),
-		EchoStart: b.EchoStart, Unreachable: b.StoreUnreachable,
+		EchoStart: b.EchoStart, Unreachable: b.StoreUnreachable, Leavers: b.Leavers,
 	}
 	for key, o := range b.InFlight {
 		m.Keys = append(m.Keys, key)
@@ -81,7 +81,7 @@
 	b := peer.Heartbeat{
 		Name: m.GetName(), Start: m.GetStart(), Ready: m.GetReady(), Leaving: m.GetLeaving(), ConfigVersion: m.GetVersion(),
 		ConfigAge: fromMicroseconds(m.GetAge()), RunnersRevision: m.GetRunners(), Sent: fromMicroseconds(m.GetSent()),
-		Echo: fromMicroseconds(m.GetEcho()), StoreUnreachable: m.GetUnreachable(),
+		Echo: fromMicroseconds(m.GetEcho()), StoreUnreachable: m.GetUnreachable(), Leavers: m.GetLeavers(),
 		EchoDelay: fromMicroseconds(m.GetHeld()), EchoStart: m.GetEchoStart(), InFlight: make(map[uint32]peer.InFlight, len(m.GetKeys())),
 	}
 	for i, key := range m.GetKeys() {
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -53,6 +53,7 @@
 	fault         Fault
 	runs          []Run
 	disconnects   int
+	leaving       bool
 	retryAfter    string
 	crashBody     string
 	crashPart     string
@@ -74,6 +75,13 @@
 	r.fault = f
 }
 
+// SetLeaving makes the runner say in all its answers that it leaves.
+func (r *Runner) SetLeaving(yes bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = yes
+}
+
 // SetRetryAfter sets the Retry-After of the answers of FaultShed; it is left out if the text is empty.
 func (r *Runner) SetRetryAfter(text string) {
 	r.mu.Lock()
@@ -149,6 +157,9 @@
 	r.mu.Lock()
 	fault := r.fault
 	w.Header().Set("X-Request-Id", q.Header.Get("X-Request-Id"))
+	if r.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if want := q.Header.Get("X-Expect-Instance"); want != "" && want != r.id {
 		r.mu.Unlock()
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/state/demand/demand.go
+++ b/state/demand/demand.go
@@ -62,6 +62,8 @@
 	// FailedRunner is the IP address and port, or the identifier, of the runner that kept this one from executing the
 	// request, empty if unknown.
 	FailedRunner string
+	// Leaving reports that the runner is about to end and takes no new work.
+	Leaving bool
 	// Refused reports that the runner has no room and wants no further request for RetryAfter. HasInvalidRetryAfter is set if
 	// it gave a time that cannot be read, in place of which RetryAfter is a default.
 	Refused, HasInvalidRetryAfter bool
--- a/state/peer/peer.go
+++ b/state/peer/peer.go
@@ -47,6 +47,8 @@
 	Crashes []suspect.Crash
 	// Parts is the latest evidence about parts of prompts that may crash runners, with times on the sender's clock.
 	Parts []suspect.Evidence
+	// Leavers are the short keys of the runners that told the sender in an answer that they leave.
+	Leavers []uint32
 	// Silences lists entries that the sender has not heard from for too long, itself or by others.
 	Silences []Silence
 }
--- a/state/runner/runner.go
+++ b/state/runner/runner.go
@@ -55,6 +55,12 @@
 // only makes the counts of their work less accurate.
 func Key(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
+// WithState returns the runner in another state.
+func (r Runner) WithState(s State) Runner {
+	r.state = s
+	return r
+}
+
 // ID returns the identifier of this incarnation.
 func (r Runner) ID() string { return r.id }
 
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -11,6 +11,7 @@
 
 	"github.com/kingcupstile/kingcupstile/coordination/breaker"
 	"github.com/kingcupstile/kingcupstile/coordination/dispatcher"
+	"github.com/kingcupstile/kingcupstile/coordination/overseer"
 	"github.com/kingcupstile/kingcupstile/protocol/eventer"
 	"github.com/kingcupstile/kingcupstile/state/attempt"
 	"github.com/kingcupstile/kingcupstile/state/demand"
@@ -175,6 +176,9 @@
 // recordReply records what the head of an answer, to whatever request, says of the runner that sent it.
 func (f *Forwarder) recordReply(runner string, reply demand.Reply) {
 	now := f.clock.Now()
+	if reply.Leaving {
+		f.report(overseer.RunnerLeaves{Runner: runner, At: now})
+	}
 	if reply.HasInvalidRetryAfter {
 		f.scope.Counter("invalid_retry_after").Inc(1)
 		f.log.Warn("runner gave a Retry-After that cannot be read; taking the default", "runner", runner, "default", reply.RetryAfter)
