overseer: Tell other entries which runners leave, not only that they are behind

Cause: an entry that reads from another's copy was told by heartbeats that it is behind, waited 1.2 s, and asked then; with up to n x 40 ms between two heartbeats this takes 3.1 s at 36 entries and over 12 s at 300.

Heartbeats carry the runners that leave, by the store's or their own account, and the age of that knowledge. It is passed on for 3 s and forgotten 5 s after it was first known, so that passing it on renews no wrong report.

--- a/coordination/overseer/leavers.go
+++ b/coordination/overseer/leavers.go
@@ -11,17 +11,20 @@
 const (
 	// leaverRetention is how long a runner that said that it leaves gets no requests although it stays registered as ready.
 	leaverRetention = 10 * time.Minute
-	// rumourRetention is the same for a runner of which another entry reports it, counted from the last report.
+	// rumourRetention is how long after that was first known a runner gets no requests of which another entry reports that it
+	// leaves, and reportTime for how long it is reported, by whoever knows.
 	rumourRetention = 5 * time.Second
+	reportTime      = 3 * time.Second
 	// maxLeavers bounds the runners in one heartbeat.
 	maxLeavers = 64
 )
 
-// leaver is a runner that said that it leaves.
+// leaver is a runner that leaves, although it is registered as ready.
 type leaver struct {
 	// startedAt tells its start from a later one under the same identifier.
 	startedAt int64
-	until     time.Duration
+	// knownAt is when its leaving was first known, and until when it gets no requests.
+	knownAt, until time.Duration
 	// isOwn says that it told this entry.
 	isOwn bool
 }
@@ -29,28 +32,33 @@
 // withLeaver notes that a runner said that it leaves: it gets no further requests, whatever the store says.
 func (s State) withLeaver(e RunnerLeaves) (State, []Effect) {
 	r, found := s.runners.Runner(e.Runner)
-	if known := s.leavers[e.Runner]; !found || known.isOwn || known == (leaver{}) && !r.IsReady() {
+	if known, isKnown := s.leavers[e.Runner]; !found || known.isOwn || !isKnown && !r.IsReady() {
 		return s, nil
 	}
-	s = s.withLeaverUntil(r, leaver{startedAt: r.StartedAt(), until: e.At + leaverRetention, isOwn: true})
+	s = s.withLeaverUntil(r, leaver{startedAt: r.StartedAt(), knownAt: e.At, until: e.At + leaverRetention, isOwn: true})
 	return s, []Effect{Log{Message: "runner said that it leaves; no more requests go to it", Args: []any{
 		"runner", e.Runner, "service", r.Service(),
 	}}}
 }
 
-// withPeerLeavers notes the runners of which another entry reports that they said that they leave.
+// withPeerLeavers notes the runners of which another entry reports that they leave. That ends a while after it was first
+// known, however it was passed on, so that a report which is wrong or old does no lasting harm.
 func (s State) withPeerLeavers(b peer.Heartbeat, at time.Duration) State {
 	if len(b.Leavers) == 0 {
 		return s
 	}
-	keys := make(map[uint32]bool, len(b.Leavers))
-	for _, key := range b.Leavers {
-		keys[key] = true
+	knownAt := make(map[uint32]time.Duration, len(b.Leavers))
+	for _, l := range b.Leavers {
+		knownAt[l.Runner] = at - l.Age
 	}
 	for _, r := range s.runners.All() {
+		since, isReported := knownAt[runner.Key(r.ID())]
 		known, isKnown := s.leavers[r.ID()]
-		if keys[runner.Key(r.ID())] && !known.isOwn && (isKnown || r.IsReady()) {
-			s = s.withLeaverUntil(r, leaver{startedAt: r.StartedAt(), until: at + rumourRetention})
+		if !isReported || known.isOwn || at >= since+rumourRetention || !isKnown && !r.IsReady() {
+			continue
+		}
+		if until := since + rumourRetention; until > known.until {
+			s = s.withLeaverUntil(r, leaver{startedAt: r.StartedAt(), knownAt: since, until: until})
 		}
 	}
 	return s
@@ -66,8 +74,8 @@
 	return s
 }
 
-// withRegistered returns the state with a runner as the store has it, marked as leaving if it said so since it started. Once
-// the store says so too, there is nothing more to remember.
+// withRegistered returns the state with a runner as the store has it, marked as leaving if that is known since it started.
+// Once the store says so too, there is nothing more to remember.
 func (s State) withRegistered(r runner.Runner) State {
 	if l, found := s.leavers[r.ID()]; found {
 		if r.IsReady() && l.startedAt == r.StartedAt() {
@@ -81,7 +89,7 @@
 	return s
 }
 
-// withLeaversMarked marks the runners that said that they leave, after all were listed.
+// withLeaversMarked marks the runners that are known to leave, after all were listed.
 func (s State) withLeaversMarked() State {
 	for id := range s.leavers {
 		if r, found := s.runners.Runner(id); found {
@@ -91,8 +99,30 @@
 	return s
 }
 
-// withoutExpiredLeavers forgets the runners that are gone, and takes those back that stay registered as ready for too long,
-// or that no other entry reports any longer.
+// withDrained notes that the store told that a runner which took new work leaves or is gone.
+func (s State) withDrained(r runner.Runner, at time.Duration) State {
+	if !r.IsReady() {
+		return s
+	}
+	s.drained = maps.Clone(s.drained)
+	if s.drained == nil {
+		s.drained = map[uint32]time.Duration{}
+	}
+	s.drained[runner.Key(r.ID())] = at
+	return s
+}
+
+// withDrainedSince notes which runners leave or are gone now that took new work in an earlier set.
+func (s State) withDrainedSince(before runner.Set, at time.Duration) State {
+	for _, old := range before.All() {
+		if r, found := s.runners.Runner(old.ID()); !found || !r.IsReady() {
+			s = s.withDrained(old, at)
+		}
+	}
+	return s
+}
+
+// withoutExpiredLeavers forgets the runners that are gone, and takes those back that stay registered as ready for too long.
 func (s State) withoutExpiredLeavers(at time.Duration) State {
 	for id, l := range s.leavers {
 		r, found := s.runners.Runner(id)
@@ -105,16 +135,33 @@
 			s.runners = s.runners.WithRunners(r.WithState(runner.StateReady))
 		}
 	}
+	for key, since := range s.drained {
+		if at-since >= reportTime {
+			s.drained = maps.Clone(s.drained)
+			delete(s.drained, key)
+		}
+	}
 	return s
 }
 
-// leaverKeys returns the short keys of the runners that told this entry that they leave.
-func (s State) leaverKeys() []uint32 {
-	var keys []uint32
+// leaversToReport returns the runners to report to other entries as leaving. Those that told this entry are reported anew
+// each time, those that others or the store told of only as old as that is.
+func (s State) leaversToReport(now time.Duration) []peer.Leaver {
+	var list []peer.Leaver
+	add := func(key uint32, age time.Duration) {
+		if age < reportTime && len(list) < maxLeavers {
+			list = append(list, peer.Leaver{Runner: key, Age: age})
+		}
+	}
 	for id, l := range s.leavers {
-		if l.isOwn && len(keys) < maxLeavers {
-			keys = append(keys, runner.Key(id))
+		if l.isOwn {
+			add(runner.Key(id), 0)
+		} else {
+			add(runner.Key(id), now-l.knownAt)
 		}
 	}
-	return keys
+	for key, since := range s.drained {
+		add(key, now-since)
+	}
+	return list
 }
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -106,8 +106,10 @@
 	// by this entry or reported by others.
 	crashes suspect.Crashes
 	parts   suspect.Parts
-	// leavers are the runners that said in an answer that they leave, by identifier.
+	// leavers are the runners that leave although they are registered as ready, by identifier, and drained is when the store
+	// last told that runners leave or are gone, by their short keys.
 	leavers map[string]leaver
+	drained map[uint32]time.Duration
 	// tickedAt is the time of the last tick, runningSince that of the first one or the first one after a pause, and
 	// informedAt when the last heartbeat was sent that another entry is known to have received.
 	tickedAt, runningSince, informedAt time.Duration
@@ -182,7 +184,7 @@
 	common := peer.Heartbeat{
 		Name: s.self.Name, Start: s.self.Start, Ready: s.IsReady(now), Leaving: s.leaving, ConfigVersion: s.table.Version(),
 		ConfigAge: s.Age(now), RunnersRevision: s.runnersLast, Sent: now, InFlight: open, Silences: s.silences(now),
-		StoreUnreachable: s.unreachable, Leavers: s.leaverKeys(),
+		StoreUnreachable: s.unreachable, Leavers: s.leaversToReport(now),
 	}
 	heartbeats := make(map[string]peer.Heartbeat, len(list))
 	for _, to := range list {
--- a/coordination/overseer/step.go
+++ b/coordination/overseer/step.go
@@ -113,8 +113,9 @@
 			}
 		}
 	}
+	before := s.runners
 	s.runners, s.hasRunners = next, true
-	s = s.withLeaversMarked()
+	s = s.withDrainedSince(before, at).withLeaversMarked()
 	return s, append(effects, Log{Message: "runners listed", Args: []any{"runners", next.Len(), "in doubt", len(s.retained)}})
 }
 
@@ -130,6 +131,9 @@
 		switch {
 		case !c.Removed && c.Valid:
 			delete(s.retained, c.Name)
+			if found && !c.Item.IsReady() {
+				s = s.withDrained(old, at)
+			}
 			s = s.withRegistered(c.Item)
 			registered++
 			if registered > maxLoggedRunners {
@@ -142,6 +146,7 @@
 			s.retained[c.Name] = retainedRunner{runner: old, until: s.recoveredAt + reregistrationTime}
 			effects = append(effects, Log{Message: "registration missing after store outage; keeping runner", Args: []any{"runner", c.Name}})
 		case found:
+			s = s.withDrained(old, at)
 			s.runners = s.runners.Without(c.Name)
 			effects = append(effects, Log{Message: "runner removed", Args: []any{"runner", c.Name, "service", old.Service()}})
 		}
--- a/protocol/messenger/entry.go
+++ b/protocol/messenger/entry.go
@@ -18,7 +18,7 @@
 	m := &wire.EntryBeat{
 		Name: b.Name, Start: b.Start, Ready: b.Ready, Leaving: b.Leaving, Version: b.ConfigVersion, Age: b.ConfigAge.Microseconds(),
 		Runners: b.RunnersRevision, Sent: b.Sent.Microseconds(), Echo: b.Echo.Microseconds(), Held: b.EchoDelay.Microseconds(),
-		EchoStart: b.EchoStart, Unreachable: b.StoreUnreachable, Leavers: b.Leavers,
+		EchoStart: b.EchoStart, Unreachable: b.StoreUnreachable,
 	}
 	for key, o := range b.InFlight {
 		m.Keys = append(m.Keys, key)
@@ -33,6 +33,10 @@
 			Fingerprint: string(c.Fingerprint), Runner: c.Runner, Ago: (b.Sent - c.At).Microseconds(),
 		})
 	}
+	for _, l := range b.Leavers {
+		m.Leavers = append(m.Leavers, l.Runner)
+		m.Since = append(m.Since, uint32(max(0, l.Age.Milliseconds())))
+	}
 	for _, e := range b.Parts {
 		m.Parts = append(m.Parts, encodePart(e, b.Sent))
 	}
@@ -74,14 +78,14 @@
 	if err := proto.Unmarshal(datagram, &m); err != nil {
 		return peer.Heartbeat{}, fault.New("decode heartbeat", kingcupstile.KindInvalid, err)
 	}
-	if len(m.GetRequests()) != len(m.GetKeys()) || len(m.GetUnread()) != len(m.GetKeys()) {
+	if len(m.GetRequests()) != len(m.GetKeys()) || len(m.GetUnread()) != len(m.GetKeys()) || len(m.GetLeavers()) != len(m.GetSince()) {
 		return peer.Heartbeat{}, fault.Newf("decode heartbeat", kingcupstile.KindInvalid,
-			"lists of keys, requests and unread tokens differ in length")
+			"lists that belong together differ in length")
 	}
 	b := peer.Heartbeat{
 		Name: m.GetName(), Start: m.GetStart(), Ready: m.GetReady(), Leaving: m.GetLeaving(), ConfigVersion: m.GetVersion(),
 		ConfigAge: fromMicroseconds(m.GetAge()), RunnersRevision: m.GetRunners(), Sent: fromMicroseconds(m.GetSent()),
-		Echo: fromMicroseconds(m.GetEcho()), StoreUnreachable: m.GetUnreachable(), Leavers: m.GetLeavers(),
+		Echo: fromMicroseconds(m.GetEcho()), StoreUnreachable: m.GetUnreachable(),
 		EchoDelay: fromMicroseconds(m.GetHeld()), EchoStart: m.GetEchoStart(), InFlight: make(map[uint32]peer.InFlight, len(m.GetKeys())),
 	}
 	for i, key := range m.GetKeys() {
@@ -95,6 +99,9 @@
 			Fingerprint: suspect.Fingerprint(c.GetFingerprint()), Runner: c.GetRunner(), At: b.Sent - fromMicroseconds(c.GetAgo()),
 		})
 	}
+	for i, key := range m.GetLeavers() {
+		b.Leavers = append(b.Leavers, peer.Leaver{Runner: key, Age: time.Duration(m.GetSince()[i]) * time.Millisecond})
+	}
 	for _, p := range m.GetParts() {
 		e, err := decodePart(p, b.Sent)
 		if err != nil {
--- a/state/peer/peer.go
+++ b/state/peer/peer.go
@@ -47,12 +47,20 @@
 	Crashes []suspect.Crash
 	// Parts is the latest evidence about parts of prompts that may crash runners, with times on the sender's clock.
 	Parts []suspect.Evidence
-	// Leavers are the short keys of the runners that told the sender in an answer that they leave.
-	Leavers []uint32
+	// Leavers are the runners of which the sender knows that they leave.
+	Leavers []Leaver
 	// Silences lists entries that the sender has not heard from for too long, itself or by others.
 	Silences []Silence
 }
 
+// Leaver says that a runner leaves.
+type Leaver struct {
+	// Runner is the runner's short key, as returned by runner.Key.
+	Runner uint32
+	// Age is how long that has been known, by the process that first knew it.
+	Age time.Duration
+}
+
 // Silence says that one start of an entry is silent.
 type Silence struct {
 	Name  string
