overseer, runner: Find runners by their short keys

Crashes and leaving runners are reported under short keys, and each report compared them with all runners in order of their names, which at 12,000 runners sorts them for each heartbeat. The set has an index by key. Outages, lost runners and trials of parts are counted.

--- a/coordination/overseer/crashes.go
+++ b/coordination/overseer/crashes.go
@@ -81,12 +81,11 @@
 	if isKnown {
 		return s, nil
 	}
-	for _, r := range s.runners.All() {
-		if runner.Key(r.ID()) == c.Runner {
-			return s, []Effect{RunnerLost{Service: r.Service(), At: c.At}}
-		}
+	r, found := s.runners.ByKey(c.Runner)
+	if !found {
+		return s, nil
 	}
-	return s, nil
+	return s, []Effect{RunnerLost{Service: r.Service(), At: c.At}}
 }
 
 // withoutExpiredCrashes drops crashes older than suspect.CrashRetention.
--- a/coordination/overseer/leavers.go
+++ b/coordination/overseer/leavers.go
@@ -44,20 +44,14 @@
 // withPeerLeavers notes the runners of which another entry reports that they leave. That ends a while after it was first
 // known, however it was passed on, so that a report which is wrong or old does no lasting harm.
 func (s State) withPeerLeavers(b peer.Heartbeat, at time.Duration) State {
-	if len(b.Leavers) == 0 {
-		return s
-	}
-	knownAt := make(map[uint32]time.Duration, len(b.Leavers))
 	for _, l := range b.Leavers {
-		knownAt[l.Runner] = at - l.Age
-	}
-	for _, r := range s.runners.All() {
-		since, isReported := knownAt[runner.Key(r.ID())]
+		r, found := s.runners.ByKey(l.Runner)
 		known, isKnown := s.leavers[r.ID()]
-		if !isReported || known.isOwn || at >= since+rumourRetention || !isKnown && !r.IsReady() {
+		if !found || known.isOwn || !isKnown && !r.IsReady() {
 			continue
 		}
-		if until := since + rumourRetention; until > known.until {
+		since := at - l.Age
+		if until := since + rumourRetention; until > max(at, known.until) {
 			s = s.withLeaverUntil(r, leaver{startedAt: r.StartedAt(), knownAt: since, until: until})
 		}
 	}
--- a/state/runner/set.go
+++ b/state/runner/set.go
@@ -6,9 +6,10 @@
 	"slices"
 )
 
-// Set is the set of registered runners, indexed by identifier, by service and by address.
+// Set is the set of registered runners, indexed by identifier, by short key, by service and by address.
 type Set struct {
 	byID      map[string]Runner
+	byKey     map[uint32]Runner
 	byService map[string][]Runner
 	byAddress map[string]Runner
 }
@@ -24,8 +25,12 @@
 
 // indexed returns the set of the given runners with its index by service.
 func indexed(byID map[string]Runner) Set {
-	s := Set{byID: byID, byService: map[string][]Runner{}, byAddress: make(map[string]Runner, len(byID))}
+	s := Set{
+		byID: byID, byKey: make(map[uint32]Runner, len(byID)), byService: map[string][]Runner{},
+		byAddress: make(map[string]Runner, len(byID)),
+	}
 	for _, r := range byID {
+		s.byKey[Key(r.id)] = r
 		s.byService[r.service] = append(s.byService[r.service], r)
 		if known, found := s.byAddress[r.address]; !found || known.startedAt < r.startedAt {
 			s.byAddress[r.address] = r
@@ -43,6 +48,13 @@
 	return r, ok
 }
 
+// ByKey returns the runner with the short key that Key returns for its identifier, any one of several, and false if there is
+// none.
+func (s Set) ByKey(key uint32) (Runner, bool) {
+	r, ok := s.byKey[key]
+	return r, ok
+}
+
 // AtAddress returns the runner at an IP address and port, the one that started last if several are registered there, and
 // false if there is none.
 func (s Set) AtAddress(address string) (Runner, bool) {
--- a/transport/forwarder/outage.go
+++ b/transport/forwarder/outage.go
@@ -44,6 +44,8 @@
 	if !found || !s.Update(func(b breaker.Breaker) breaker.Breaker { return b.WithLoss(at) }) {
 		return
 	}
+	f.scope.Tagged(map[string]string{"service": service}).Counter("outages").Inc(1)
+	f.log.Info("runners may be down; requests wait or are told to return", "service", service)
 	go f.watchOutage(service, s)
 }
 
--- a/transport/forwarder/screen.go
+++ b/transport/forwarder/screen.go
@@ -49,6 +49,7 @@
 	if !x.lostRunner && state.IsTrialPlace(held, now) {
 		if end, begun := f.trials.Begin(held, x.service, now); begun {
 			x.endTrial = end
+			f.scope.Tagged(map[string]string{"service": x.service}).Counter("part_trials").Inc(1)
 			f.log.Info("trying a request with a part that is held back", "request", x.request.ID, "parts", x.loggedParts(),
 				"cost", f.trials.CostOf(x.service))
 			return nil
@@ -94,6 +95,7 @@
 func (x *exchange) recordLoss(runner string, now time.Duration) {
 	f := x.forwarder
 	x.lostRunner = true
+	f.scope.Tagged(map[string]string{"service": x.service}).Counter("runners_lost").Inc(1)
 	seen := make([]suspect.Sighting, 0, len(x.parts))
 	for _, part := range x.parts {
 		seen = append(seen, suspect.Sighting{Part: part, AnsweredAt: f.trials.AnsweredAt(part)})
