overseer, forwarder: Wait no longer than needed for what others know of crashes

After a start or a pause, an entry refuses unknown parts until another one has replied to a heartbeat. It waits for a reply only if it has heard from an older entry, or was paused; else 0.3 s. A request waits for that up to half of its latency target.

Of a request with many parts all are screened, and those that were never answered are reported first when a runner is lost; before, a deadly part after the 64th was not seen (TestDeadlyPartAmongManyIsFound).

--- a/coordination/overseer/parts.go
+++ b/coordination/overseer/parts.go
@@ -18,8 +18,12 @@
 	maxPartsToNewcomer   = 64
 	// maxTickGap is the time between two ticks from which on this process counts as having been paused.
 	maxTickGap = 500 * time.Millisecond
-	// informTime is how long after a start or a pause another entry's heartbeat is awaited; there may be none.
+	// informTime is how long after a start or a pause another entry's reply to a heartbeat is awaited, and quietTime how long
+	// if no entry is heard from that may know more.
 	informTime = 1500 * time.Millisecond
+	quietTime  = 300 * time.Millisecond
+	// sameStart is how close together entries start that are all restarted at once, so that none knows more.
+	sameStart = 5 * time.Second
 	// trialShare is how long after its release a part may be tried at twice as many entries.
 	trialShare = time.Minute
 )
@@ -49,7 +53,19 @@
 	case s.tickedAt == 0 || now-s.tickedAt > maxTickGap:
 		return false
 	}
-	return now-s.runningSince > informTime || s.informedAt >= s.runningSince
+	running := now - s.runningSince
+	return s.informedAt >= s.runningSince || running > informTime || running > quietTime && !s.hearsOfMore()
+}
+
+// hearsOfMore reports whether an entry was heard from, since this one started or was paused, that may know more.
+func (s State) hearsOfMore() bool {
+	for _, e := range s.peers {
+		isOlder := e.peer.Start < s.self.Start-sameStart.Nanoseconds()
+		if e.heardAt >= s.runningSince && (isOlder || s.wasPaused) {
+			return true
+		}
+	}
+	return false
 }
 
 // IsTrialPlace reports whether this entry is one that may try requests with a part: the first live one by a hash, so that
@@ -84,7 +100,7 @@
 // withTicked notes that the process runs, and since when without a pause.
 func (s State) withTicked(at time.Duration) State {
 	if s.tickedAt == 0 || at-s.tickedAt > maxTickGap {
-		s.runningSince = at
+		s.runningSince, s.wasPaused = at, s.tickedAt > 0
 	}
 	s.tickedAt = at
 	return s
--- a/coordination/overseer/parts_test.go
+++ b/coordination/overseer/parts_test.go
@@ -102,6 +102,10 @@
 	if s = beat(s, 6100*time.Millisecond, 6200*time.Millisecond); !s.IsInformed(6210 * time.Millisecond) {
 		t.Error("not informed after the pause")
 	}
+	late, _ := apply(s, overseer.Tick{At: 20 * second})
+	if late.IsInformed(20*second+200*time.Millisecond) || !late.IsInformed(20*second+400*time.Millisecond) {
+		t.Error("an entry that hears nobody does not wait for a moment, or for longer")
+	}
 	alone, _ := apply(overseer.New(self), overseer.PeersListed{At: second}, overseer.Tick{At: second})
 	if !alone.IsInformed(second) {
 		t.Error("an entry without others waits for them")
@@ -116,6 +120,20 @@
 	}
 }
 
+// TestEntriesThatStartTogetherDoNotWait starts all entries at once: none knows more than the others, so that they wait for a
+// moment only; one that hears from an older entry waits for its reply.
+func TestEntriesThatStartTogetherDoNotWait(t *testing.T) {
+	for age, want := range map[time.Duration]bool{0: true, time.Second: true, time.Minute: false} {
+		me, a := self, other("a", "x")
+		me.Start, a.Start = time.Hour.Nanoseconds(), (time.Hour - age).Nanoseconds()
+		s, _ := apply(overseer.New(me), overseer.PeersListed{Peers: []peer.Peer{a}, At: second}, overseer.Tick{At: second},
+			overseer.HeartbeatReceived{Heartbeat: peer.Heartbeat{Name: "a", Start: a.Start, Ready: true}, At: second + 100*time.Millisecond})
+		if got := s.IsInformed(second + 400*time.Millisecond); got != want {
+			t.Errorf("beside an entry that started %v before: %t", age, got)
+		}
+	}
+}
+
 // TestOneEntryTriesAPart asks all entries who may try a part: one alone, more after a while, and none that is cut off.
 func TestOneEntryTriesAPart(t *testing.T) {
 	names := []string{"b", "c", "d", "e"}
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -113,6 +113,8 @@
 	// tickedAt is the time of the last tick, runningSince that of the first one or the first one after a pause, and
 	// informedAt when the last heartbeat was sent that another entry is known to have received.
 	tickedAt, runningSince, informedAt time.Duration
+	// wasPaused says that a pause came before runningSince.
+	wasPaused bool
 	// suspectedAt is when another entry last reported this one silent, 0 for never.
 	suspectedAt time.Duration
 	// loggedFresh is the last logged result of IsFresh.
--- a/state/demand/demand.go
+++ b/state/demand/demand.go
@@ -1,9 +1,6 @@
 package demand
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Request holds the parameters that a caller sends in the head of a request.
 type Request struct {
@@ -29,8 +26,10 @@
 // a name.
 func (r Request) SharedParts() []string {
 	var shared []string
+	seen := map[string]bool{"": true}
 	for _, part := range r.PromptParts[:max(0, len(r.PromptParts)-1)] {
-		if part != "" && !slices.Contains(shared, part) {
+		if !seen[part] {
+			seen[part] = true
 			shared = append(shared, part)
 		}
 	}
--- a/transport/forwarder/screen.go
+++ b/transport/forwarder/screen.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -13,17 +14,22 @@
 	"github.com/kingcupstile/kingcupstile/state/suspect"
 )
 
-// maxParts bounds the parts of one prompt that are looked at, all in memory and those of a lost runner in heartbeats.
-const maxParts = 64
+// maxSightings bounds the parts of one request that are reported when a runner is lost.
+const maxSightings = 64
 
-// informInterval is the time between two checks whether an entry that was paused knows again what others found out.
-const informInterval = 10 * time.Millisecond
+const (
+	// informDivisor is the divisor of a route's latency target that gives how long a request waits for this entry, after a start
+	// or a pause, to learn what others found out.
+	informDivisor = 2
+	// informInterval is the time between two checks whether it has.
+	informInterval = 10 * time.Millisecond
+)
 
 // identifyParts returns the shared parts of a request's prompt.
 func identifyParts(service string, d demand.Request) []suspect.Part {
 	names := d.SharedParts()
-	parts := make([]suspect.Part, 0, min(len(names), maxParts))
-	for _, name := range names[:min(len(names), maxParts)] {
+	parts := make([]suspect.Part, 0, len(names))
+	for _, name := range names {
 		parts = append(parts, suspect.IdentifyPart(service, name))
 	}
 	return parts
@@ -62,7 +68,7 @@
 // awaitScreened does as screen, but waits a little for an entry that was paused to know again what others found out.
 func (x *exchange) awaitScreened(ctx context.Context) *refusal {
 	f := x.forwarder
-	until := x.arrivedAt + x.access.route.LatencyTarget()/waitDivisor
+	until := x.arrivedAt + x.access.route.LatencyTarget()/informDivisor
 	for {
 		denied := x.screen(f.snapshot(), f.clock.Now())
 		if denied == nil || denied.reason != reasonUninformed || f.clock.Now() >= until || !pauser.Wait(ctx, informInterval) {
@@ -100,6 +106,9 @@
 	for _, part := range x.parts {
 		seen = append(seen, suspect.Sighting{Part: part, AnsweredAt: f.trials.AnsweredAt(part)})
 	}
+	// Parts that were never answered come first, as they explain the loss best.
+	slices.SortStableFunc(seen, func(a, b suspect.Sighting) int { return cmp.Compare(a.AnsweredAt, b.AnsweredAt) })
+	seen = seen[:min(len(seen), maxSightings)]
 	f.RecordLoss(x.service, now)
 	f.report(overseer.RunnerCrashed{Fingerprint: x.fingerprint(), Runner: runner, Parts: seen, At: now})
 }
--- a/transport/gateway/crash_test.go
+++ b/transport/gateway/crash_test.go
@@ -80,6 +80,25 @@
 	}
 }
 
+// TestDeadlyPartAmongManyIsFound hides a deadly part behind hundreds that were answered before.
+func TestDeadlyPartAmongManyIsFound(t *testing.T) {
+	d := newDeployment(t)
+	for _, r := range d.runners {
+		r.CrashOnPart("dead")
+	}
+	many := distinct(300)
+	header := map[string]string{"X-Prefix-Hash": many + ",own:1"}
+	if a := d.call(http.MethodPost, "/draft/x", "slip", header); a.body != events(1, 5) {
+		t.Fatalf("a sound request: %+v", a)
+	}
+	for n := range 5 {
+		d.call(http.MethodPost, "/draft/x", fmt.Sprint("slip ", n), map[string]string{"X-Prefix-Hash": many + ",dead:700,own:1"})
+	}
+	if n := d.crashes(); n != 1 {
+		t.Errorf("%d crashes", n)
+	}
+}
+
 // TestOddListsOfPartsAreServed sends lists of parts with thousands of entries, with the same twice, malformed, and none.
 func TestOddListsOfPartsAreServed(t *testing.T) {
 	d := newDeployment(t)
