suspect, forwarder: Take in a loss with all its parts at once, and before the next request

A loss is added with all its parts in one step now, and the process that reports it holds its new parts back until the control state knows of them, for 2 s at most.

--- a/coordination/overseer/parts.go
+++ b/coordination/overseer/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/kingcupstile/kingcupstile/coordination/quarantiner"
@@ -36,12 +35,10 @@
 // HasEvidence reports whether there is evidence about any part; if there is none, no answer need be reported.
 func (s State) HasEvidence() bool { return s.parts.Len() > 0 }
 
-// IsEvidence reports whether there is evidence about one of some parts.
-func (s State) IsEvidence(parts []suspect.Part) bool {
-	return slices.ContainsFunc(parts, func(part suspect.Part) bool {
-		_, found := s.parts.Find(part)
-		return found
-	})
+// IsEvidence reports whether there is evidence about a part.
+func (s State) IsEvidence(part suspect.Part) bool {
+	_, found := s.parts.Find(part)
+	return found
 }
 
 // IsInformed reports whether this entry knows what others have found out of prompts that crash runners. Just after a start or
@@ -156,17 +153,7 @@
 
 // withSightings adds the loss of a runner that held an unanswered request with some parts.
 func (s State) withSightings(e RunnerCrashed) (State, []Effect) {
-	parts := make([]suspect.Part, 0, len(e.Parts))
-	for _, seen := range e.Parts {
-		parts = append(parts, seen.Part)
-	}
-	next := s.parts.WithLoss(suspect.Loss{Runner: runner.Key(e.Runner), At: e.At}, e.At, parts...)
-	for _, seen := range e.Parts {
-		if seen.AnsweredAt > 0 {
-			next = next.WithAnswer(seen.AnsweredAt, e.At, seen.Part)
-		}
-	}
-	return s.withParts(next)
+	return s.withParts(s.parts.WithSightings(suspect.Loss{Runner: runner.Key(e.Runner), At: e.At}, e.At, e.Parts...))
 }
 
 // withParts replaces the evidence about parts, and reports the parts on which the verdict changed.
--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -145,3 +145,21 @@
 		t.Errorf("cost %d of a new incident", got)
 	}
 }
+
+// TestReportedPartWaitsForTheControlState reports a loss: its new parts are held back until the control state knows of them,
+// and not for long if it never does.
+func TestReportedPartWaitsForTheControlState(t *testing.T) {
+	trials := quarantiner.NewTrials()
+	trials.RecordReported([]suspect.Sighting{{Part: part}, {Part: 8, AnsweredAt: second}}, 10*second)
+	known := func(yes bool) func(suspect.Part) bool { return func(suspect.Part) bool { return yes } }
+	for _, test := range []struct {
+		part    suspect.Part
+		isKnown bool
+		at      time.Duration
+		want    bool
+	}{{part, false, 10 * second, true}, {8, false, 10 * second, false}, {part, true, 10 * second, false}, {part, false, 12 * second, false}} {
+		if got := trials.IsReported([]suspect.Part{1, test.part}, known(test.isKnown), test.at); got != test.want {
+			t.Errorf("part %d, known %t, at %v: %t", test.part, test.isKnown, test.at, got)
+		}
+	}
+}
--- a/coordination/quarantiner/trials.go
+++ b/coordination/quarantiner/trials.go
@@ -1,6 +1,8 @@
 package quarantiner
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +25,8 @@
 	mu       sync.Mutex
 	refused  map[suspect.Part]int
 	running  map[suspect.Part]bool
+	// reported is when a loss was last reported of a part, which the control state may not have taken in yet.
+	reported map[suspect.Part]time.Duration
 	// costs holds the cost of the last loss by service.
 	costs map[string]cost
 }
@@ -37,7 +41,10 @@
 func NewTrials() *Trials {
 	// The size is positive, so that New does not fail.
 	answered, _ := lru.New[suspect.Part, time.Duration](maxAnswered)
-	return &Trials{answered: answered, refused: map[suspect.Part]int{}, running: map[suspect.Part]bool{}, costs: map[string]cost{}}
+	return &Trials{
+		answered: answered, refused: map[suspect.Part]int{}, running: map[suspect.Part]bool{},
+		reported: map[suspect.Part]time.Duration{}, costs: map[string]cost{},
+	}
 }
 
 // RecordAnswer records that a runner began to answer a request with some parts.
@@ -63,6 +70,32 @@
 	return true
 }
 
+// reportTime is how long the control state may take to take in a loss.
+const reportTime = 2 * time.Second
+
+// RecordReported notes the parts that were never answered among those of which a loss is reported to the control state.
+func (t *Trials) RecordReported(seen []suspect.Sighting, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.reported, func(_ suspect.Part, at time.Duration) bool { return now-at >= reportTime })
+	for _, s := range seen {
+		if s.AnsweredAt == 0 {
+			t.reported[s.Part] = now
+		}
+	}
+}
+
+// IsReported reports whether a loss was just reported of one of some parts that isKnown, which asks the control state, does
+// not know of yet.
+func (t *Trials) IsReported(parts []suspect.Part, isKnown func(suspect.Part) bool, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.reported) > 0 && slices.ContainsFunc(parts, func(part suspect.Part) bool {
+		at, found := t.reported[part]
+		return found && now-at < reportTime && !isKnown(part)
+	})
+}
+
 // RecordRefusal counts a request that was refused for some parts.
 func (t *Trials) RecordRefusal(held []Held) {
 	t.mu.Lock()
--- a/state/suspect/parts.go
+++ b/state/suspect/parts.go
@@ -69,6 +69,15 @@
 	return p.with(now, parts, func(e Evidence) Evidence { return e.withLoss(l, now) })
 }
 
+// WithSightings returns the set after a runner was lost that held an unanswered request, as is known now.
+func (p Parts) WithSightings(l Loss, now time.Duration, seen ...Sighting) Parts {
+	parts, answeredAt := make([]Part, 0, len(seen)), make(map[Part]time.Duration, len(seen))
+	for _, s := range seen {
+		parts, answeredAt[s.Part] = append(parts, s.Part), s.AnsweredAt
+	}
+	return p.with(now, parts, func(e Evidence) Evidence { return e.withLoss(l, now).withAnswer(answeredAt[e.part], now) })
+}
+
 // WithAnswer returns the set after a runner began to answer a request with some parts at a time, as is known now. Parts
 // without evidence are left out.
 func (p Parts) WithAnswer(at, now time.Duration, parts ...Part) Parts {
--- a/transport/forwarder/screen.go
+++ b/transport/forwarder/screen.go
@@ -42,7 +42,7 @@
 	if len(x.parts) == 0 || x.endTrial != nil && !x.lostRunner {
 		return nil
 	}
-	if x.lostRunner && !f.trials.HasAnswered(x.parts) {
+	if x.lostRunner && !f.trials.HasAnswered(x.parts) || f.trials.IsReported(x.parts, state.IsEvidence, now) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonPart, retryAfter: longRetryAfter}
 	}
 	if !state.IsInformed(now) && !f.trials.HasAnswered(x.parts) {
@@ -92,7 +92,7 @@
 	f, now := x.forwarder, x.forwarder.clock.Now()
 	f.trials.RecordAnswer(x.parts, now)
 	x.leaveTrial()
-	if state := f.snapshot(); state.HasEvidence() && state.IsEvidence(x.parts) {
+	if state := f.snapshot(); state.HasEvidence() && slices.ContainsFunc(x.parts, state.IsEvidence) {
 		f.report(overseer.PartsAnswered{Parts: x.parts, At: now})
 	}
 }
@@ -109,6 +109,7 @@
 	// Parts that were never answered come first, as they explain the loss best.
 	slices.SortStableFunc(seen, func(a, b suspect.Sighting) int { return cmp.Compare(a.AnsweredAt, b.AnsweredAt) })
 	seen = seen[:min(len(seen), maxSightings)]
+	f.trials.RecordReported(seen, now)
 	f.RecordLoss(x.service, now)
 	f.report(overseer.RunnerCrashed{Fingerprint: x.fingerprint(), Runner: runner, Parts: seen, At: now})
 }
