suspect, overseer: Count the loss of one start of a runner once, whoever notices it late

As reports of the same runner over 2 s apart counted as two losses, all entries took the part for one that had crashed two runners and refused it for ten minutes; a sound suspect would have met the same. A start of a runner, told by its identifier and start time, is lost only once now, and of several reports the earliest counts.

TestPausedEntryTellsOfTheSameLoss failed before. The row of TestStrikes that lost the same runner twice within 4 s and expected two incidents said the contrary; it is replaced by one for the same start (one incident) and one for another or a later start (two).

--- a/coordination/overseer/crashes.go
+++ b/coordination/overseer/crashes.go
@@ -51,7 +51,7 @@
 }
 
 func (s State) withCrash(e RunnerCrashed) (State, []Effect) {
-	c := suspect.Crash{Fingerprint: e.Fingerprint, Runner: runner.Key(e.Runner), At: e.At}
+	c := suspect.Crash{Fingerprint: e.Fingerprint, Runner: runner.IncarnationKey(e.Runner, e.StartedAt), At: e.At}
 	s, lost := s.withNewCrash(c)
 	s, judged := s.withSightings(e)
 	runners, _ := s.crashes.CountFor(e.Fingerprint)
--- a/coordination/overseer/event.go
+++ b/coordination/overseer/event.go
@@ -64,6 +64,8 @@
 type RunnerCrashed struct {
 	Fingerprint suspect.Fingerprint
 	Runner      string
+	// StartedAt is the start time of the runner in Unix milliseconds, 0 if unknown.
+	StartedAt int64
 	// Parts are the shared parts of the request's prompt.
 	Parts []suspect.Sighting
 	At    time.Duration
--- a/coordination/overseer/parts.go
+++ b/coordination/overseer/parts.go
@@ -153,7 +153,7 @@
 
 // withSightings adds the loss of a runner that held an unanswered request with some parts.
 func (s State) withSightings(e RunnerCrashed) (State, []Effect) {
-	return s.withParts(s.parts.WithSightings(suspect.Loss{Runner: runner.Key(e.Runner), At: e.At}, e.At, e.Parts...))
+	return s.withParts(s.parts.WithSightings(suspect.Loss{Runner: runner.IncarnationKey(e.Runner, e.StartedAt), At: e.At}, e.At, e.Parts...))
 }
 
 // withParts replaces the evidence about parts, and reports the parts on which the verdict changed.
--- a/state/runner/runner.go
+++ b/state/runner/runner.go
@@ -1,6 +1,10 @@
 package runner
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // State says whether a runner takes new work.
 type State string
@@ -61,6 +65,15 @@
 	return r
 }
 
+// IncarnationKey returns a 32-bit hash of an identifier and a start time in Unix milliseconds, 0 if unknown, which tells the
+// starts of a runner under one identifier apart.
+func IncarnationKey(id string, startedAt int64) uint32 {
+	if startedAt == 0 {
+		return Key(id)
+	}
+	return Key(id + "/" + strconv.FormatInt(startedAt, 10))
+}
+
 // ID returns the identifier of this incarnation.
 func (r Runner) ID() string { return r.id }
 
--- a/state/runner/set.go
+++ b/state/runner/set.go
@@ -30,7 +30,7 @@
 		byAddress: make(map[string]Runner, len(byID)),
 	}
 	for _, r := range byID {
-		s.byKey[Key(r.id)] = r
+		s.byKey[Key(r.id)], s.byKey[IncarnationKey(r.id, r.startedAt)] = r, r
 		s.byService[r.service] = append(s.byService[r.service], r)
 		if known, found := s.byAddress[r.address]; !found || known.startedAt < r.startedAt {
 			s.byAddress[r.address] = r
@@ -48,8 +48,8 @@
 	return r, ok
 }
 
-// ByKey returns the runner with the short key that Key returns for its identifier, any one of several, and false if there is
-// none.
+// ByKey returns the runner with a short key that Key or IncarnationKey returns for it, any one of several, and false if there
+// is none.
 func (s Set) ByKey(key uint32) (Runner, bool) {
 	r, ok := s.byKey[key]
 	return r, ok
--- a/state/suspect/crashes.go
+++ b/state/suspect/crashes.go
@@ -14,15 +14,16 @@
 	// MaxCrashes is the most crashes that are remembered, of which the oldest are dropped first; each takes some 60
 	// bytes.
 	MaxCrashes = 1024
-	// sameCrashWindow is how much later a crash must be for the same request and runner to count as another crash.
-	// Reports take up to a second to arrive, which must not make a crash look newer each time that it is passed on.
-	sameCrashWindow = 2 * time.Second
+	// sameCrashWindow is how much later a crash must be for the same request and start of a runner to count as another crash.
+	// Reports take up to a second to arrive, which must not make a crash look newer each time that it is passed on, and a
+	// process that was paused notices the loss of a runner when it wakes.
+	sameCrashWindow = time.Minute
 )
 
 // Crash is the loss of a runner while it ran a request.
 type Crash struct {
 	Fingerprint Fingerprint
-	// Runner is the runner's short key, as returned by runner.Key.
+	// Runner is the short key of the runner's start, as returned by runner.IncarnationKey.
 	Runner uint32
 	// At is the time of the loss, on the clock of the process that holds the value.
 	At time.Duration
--- a/state/suspect/part.go
+++ b/state/suspect/part.go
@@ -20,16 +20,15 @@
 
 // Loss is the loss of a runner that held an unanswered request.
 type Loss struct {
-	// Runner is the runner's short key, as returned by runner.Key.
+	// Runner is the short key of the runner's start, as returned by runner.IncarnationKey.
 	Runner uint32
 	// At is the time of the loss, on the clock of the process that holds the value.
 	At time.Duration
 }
 
-// isSame reports whether two reports are of the same loss.
-func (l Loss) isSame(other Loss) bool {
-	return l.Runner == other.Runner && (l.At-other.At).Abs() < sameCrashWindow
-}
+// isSame reports whether two reports are of the same loss: one start of a runner is lost only once. Reports of it may come
+// much later than it, from a process that was paused.
+func (l Loss) isSame(other Loss) bool { return l.Runner == other.Runner }
 
 // Sighting is a part that was in an unanswered request at a lost runner.
 type Sighting struct {
@@ -69,15 +68,20 @@
 	return e.losses[len(e.losses)-1].At
 }
 
-// withLoss returns the evidence with a loss added; a report of a known one changes nothing.
+// withLoss returns the evidence with a loss added. Of several reports of the same loss the earliest counts.
 func (e Evidence) withLoss(l Loss, now time.Duration) Evidence {
-	if slices.ContainsFunc(e.losses, l.isSame) {
-		return e
+	losses := slices.Clone(e.losses)
+	if at := slices.IndexFunc(losses, l.isSame); at >= 0 {
+		if losses[at].At <= l.At {
+			return e
+		}
+		losses = slices.Delete(losses, at, at+1)
+	} else {
+		e.changedAt = now
 	}
-	at, _ := slices.BinarySearchFunc(e.losses, l, func(a, b Loss) int { return int(a.At - b.At) })
-	e.losses = slices.Insert(slices.Clone(e.losses), at, l)
-	e.losses = e.losses[max(0, len(e.losses)-maxLosses):]
-	e.changedAt = now
+	at, _ := slices.BinarySearchFunc(losses, l, func(a, b Loss) int { return int(a.At - b.At) })
+	losses = slices.Insert(losses, at, l)
+	e.losses = losses[max(0, len(losses)-maxLosses):]
 	return e
 }
 
--- a/state/suspect/parts.go
+++ b/state/suspect/parts.go
@@ -120,7 +120,7 @@
 			e = Evidence{part: part, changedAt: now}
 		}
 		changed := change(e)
-		if found && changed.changedAt == e.changedAt && changed.answeredAt == e.answeredAt && len(changed.losses) == len(e.losses) {
+		if found && changed.answeredAt == e.answeredAt && slices.Equal(changed.losses, e.losses) {
 			continue
 		}
 		if next == nil {
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -385,7 +385,7 @@
 		x.forwarder.tracker.RecordFailure(c.runner.ID(), now)
 	}
 	if sent && conduit.IsClosedByPeer(err) && c.lastEventAt == 0 {
-		x.recordLoss(c.runner.ID(), now)
+		x.recordLoss(c.runner, now)
 	}
 	if conduit.IsRefused(err) {
 		x.forwarder.recordOutage(x.service, now)
--- a/transport/forwarder/screen.go
+++ b/transport/forwarder/screen.go
@@ -11,6 +11,7 @@
 	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 	"github.com/kingcupstile/kingcupstile/coordination/quarantiner"
 	"github.com/kingcupstile/kingcupstile/state/demand"
+	"github.com/kingcupstile/kingcupstile/state/runner"
 	"github.com/kingcupstile/kingcupstile/state/suspect"
 )
 
@@ -98,7 +99,7 @@
 }
 
 // recordLoss records that a runner was lost before it began to answer the request.
-func (x *exchange) recordLoss(runner string, now time.Duration) {
+func (x *exchange) recordLoss(r runner.Runner, now time.Duration) {
 	f := x.forwarder
 	x.lostRunner = true
 	f.scope.Tagged(map[string]string{"service": x.service}).Counter("runners_lost").Inc(1)
@@ -111,7 +112,9 @@
 	seen = seen[:min(len(seen), maxSightings)]
 	f.trials.RecordReported(seen, now)
 	f.RecordLoss(x.service, now)
-	f.report(overseer.RunnerCrashed{Fingerprint: x.fingerprint(), Runner: runner, Parts: seen, At: now})
+	f.report(overseer.RunnerCrashed{
+		Fingerprint: x.fingerprint(), Runner: r.ID(), StartedAt: r.StartedAt(), Parts: seen, At: now,
+	})
 }
 
 // RecordLoss records that a runner of a service was lost at a time.
