Show that an old listing makes a draining runner ready again

Claim: entries that know that a runner drains send it requests again after their watches were cut and the store returned older data (DRAIN).

Cause: runners are listed with serializable=1, and a listing replaces what is known although its revision is lower.

--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -10,7 +10,7 @@
 
 // cases maps the name of a case to the function that plays it and returns its exit status.
 var cases = map[string]func(w *world) int{
-	"hangup": hangup, "silence": silence, "deadly": deadly, "keyless": keyless,
+	"hangup": hangup, "silence": silence, "deadly": deadly, "keyless": keyless, "stale": stale,
 }
 
 // most is how long a case may last.
