--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -19,6 +19,7 @@
 	stableBound = 3 * time.Second
 	graceBound  = 8 * time.Second
 	applyBound  = 2 * time.Second
+	revokeBound = 5 * time.Second
 	heartbeat   = 1200 * time.Millisecond
 )
 
@@ -249,11 +250,15 @@
 
 // configure writes a configuration with the given routes and services, and one tenant with one key.
 func (w *world) configure(routes, services []map[string]any) {
-	w.store.put("config", "main", map[string]any{
-		"version": 7, "routes": routes, "services": services,
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "tenant1", "apiKeys": []string{key}, "priority": 1}},
-	})
+	w.store.put("config", "main", configuration(7, routes, services,
+		[]any{map[string]any{"name": "tenant1", "apiKeys": []string{key}, "priority": 1}}))
+}
+
+func configuration(version int, routes, services []map[string]any, tenants []any) map[string]any {
+	return map[string]any{
+		"version": version, "routes": routes, "services": services, "tenants": tenants,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}
 }
 
 const (
