Check both sentences of DRAIN in the case of the draining runner

Claim: the entries also send requests to a runner of which they have passed on an answer with Server-Leaving, as they ignore that answer once the store has told them that the runner drains.

--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -28,6 +28,8 @@
 	complete bool
 	events   int
 	err      error
+	// saysLeaving is whether the answer said that its runner leaves.
+	saysLeaving bool
 	// isKept is whether the connection had been used before.
 	isKept bool
 	// left is set if the client gave up after a gap in a stream.
@@ -99,7 +101,7 @@
 		return t
 	}
 	defer func() { _ = a.Body.Close() }()
-	t.status, t.seal = a.StatusCode, a.Header.Get("X-Server-Seal")
+	t.status, t.seal, t.saysLeaving = a.StatusCode, a.Header.Get("X-Server-Seal"), a.Header.Get("Server-Leaving") != ""
 	buffer := make([]byte, 4096)
 	for err == nil {
 		var n int
--- a/review/kit/runner.go
+++ b/review/kit/runner.go
@@ -160,11 +160,7 @@
 		return
 	}
 	w.Header().Set("X-Request-Id", q.Header.Get("X-Request-Id"))
-	r.mu.Lock()
-	if r.state == "draining" {
-		w.Header().Set("Server-Leaving", "1")
-	}
-	r.mu.Unlock()
+	r.sayLeaving(w)
 	if want := q.Header.Get("X-Expect-Instance"); want != "" && want != id {
 		w.Header().Set("X-Instance-Id", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -193,12 +189,22 @@
 	case <-q.Context().Done():
 		return
 	}
+	r.sayLeaving(w)
 	text := strings.Repeat("x", 800)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(w, text)
 	x.whole = true
 }
 
+// sayLeaving says in an answer that the runner leaves, if it does.
+func (r *runner) sayLeaving(w http.ResponseWriter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == "draining" {
+		w.Header().Set("Server-Leaving", "1")
+	}
+}
+
 // stream answers with events and reports whether all were sent.
 func (r *runner) stream(w http.ResponseWriter, q *http.Request) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/review/kit/stale.go
+++ b/review/kit/stale.go
@@ -2,16 +2,18 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
 
 // stale has a runner drain, and 3.2 s later the store forgets its history and is slow. Rule DRAIN: no request that a client
-// sent later than drainMs after an entry learnt of the draining reaches the runner from that entry.
+// sent later than drainMs after an entry learnt of the draining, or passed on an answer that says so, reaches the runner from
+// that entry.
 func stale(w *world) int {
 	all := newRuns()
 	w.configure([]map[string]any{safeRoute("desk")}, []map[string]any{deskService("desk")})
-	list, err := w.addRunners("desk", 40, 3, func(r *runner) { r.slots, r.arrived = 6, all.add })
+	list, err := w.addRunners("desk", 40, 3, func(r *runner) { r.slots, r.work, r.arrived = 6, 60*time.Millisecond, all.add })
 	if err != nil {
 		return w.fail(err)
 	}
@@ -55,20 +57,32 @@
 	}()
 	c.load(60, func(entry int) { c.do(entry, http.MethodGet, "/sheet/2f", "", time.Second, nil) })
 	time.Sleep(time.Second)
-	late := 0
+	passedOn := map[int]time.Time{}
 	for _, t := range c.tries {
-		at, known := learnt[t.entry]
-		for _, x := range all.of(t.id) {
-			if x.runner == leaving && known && t.sent.After(at.Add(drainBound)) {
-				late++
-				w.note(t, all.of(t.id))
-				break
-			}
+		if at, known := passedOn[t.entry]; t.saysLeaving && (!known || t.ended.Before(at)) {
+			passedOn[t.entry] = t.ended
 		}
 	}
-	w.record.say("%d requests; %d that were sent later than %v after their entry had learnt of it reached the draining runner",
+	isLate := func(t *try, since map[int]time.Time) bool {
+		at, known := since[t.entry]
+		return known && t.sent.After(at.Add(drainBound))
+	}
+	late, lateAfterAnswer := 0, 0
+	for _, t := range c.tries {
+		reached := slices.ContainsFunc(all.of(t.id), func(x *run) bool { return x.runner == leaving })
+		if reached && isLate(t, passedOn) {
+			lateAfterAnswer++
+		}
+		if reached && isLate(t, learnt) {
+			late++
+			w.note(t, all.of(t.id))
+		}
+	}
+	w.record.say("%d requests; %d that were sent later than %v after their entry had learnt of it from the store reached the draining runner",
 		len(c.tries), late, drainBound)
-	if late > 0 {
+	w.record.say("%d entries had passed on an answer with Server-Leaving; %d requests that were sent later than %v after that reached the runner",
+		len(passedOn), lateAfterAnswer, drainBound)
+	if late+lateAfterAnswer > 0 {
 		return broken
 	}
 	return held
