Record all requests of the scripted cases

Claim: unchanged; each record now holds all that was sent, answered and run, with what broke the rule marked.

--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -55,10 +56,19 @@
 // since returns a time as the record shows it.
 func (w *world) since(at time.Time) float64 { return at.Sub(w.record.start).Seconds() }
 
-// note records an attempt with its runs.
-func (w *world) note(t *try, list []*run) {
-	w.record.say("request %s %s sent at %.3f to entry %d, ended at %.3f: %s", t.id, t.path, w.since(t.sent), t.entry+1, w.since(t.ended), t.result())
-	for _, x := range list {
-		w.record.say("  reached runner %s at %.3f, its work ended at %.3f, answered in full: %t", x.runner, w.since(x.at), w.since(x.ended), x.whole)
+// noteAll records what was sent, answered and run, in the order of sending; attempts that broke the rule are marked.
+func (w *world) noteAll(tries []*try, all *runs, marked map[*try]bool) {
+	slices.SortFunc(tries, func(a, b *try) int { return a.sent.Compare(b.sent) })
+	for _, t := range tries {
+		mark := " "
+		if marked[t] {
+			mark = "!"
+		}
+		line := fmt.Sprintf("%s request %s %s sent at %.3f to entry %d, ended at %.3f: %s",
+			mark, t.id, t.path, w.since(t.sent), t.entry+1, w.since(t.ended), t.result())
+		for _, x := range all.of(t.id) {
+			line += fmt.Sprintf("; at %s from %.3f to %.3f, answered in full: %t", x.runner, w.since(x.at), w.since(x.ended), x.whole)
+		}
+		w.record.write(line)
 	}
 }
--- a/review/kit/deadly.go
+++ b/review/kit/deadly.go
@@ -45,7 +45,7 @@
 	}()
 	c.load(6, func(entry int) { c.do(entry, http.MethodPost, "/draft/2f", "one draft", 8*time.Second, draft()) })
 	time.Sleep(time.Second)
-	retries, cut, refused := 0, 0, 0
+	cut, refused, retries := 0, 0, map[*try]bool{}
 	for _, t := range c.tries {
 		list := all.of(t.id)
 		if t.path != "/draft/deadly" {
@@ -54,19 +54,19 @@
 			}
 			continue
 		}
-		w.note(t, list)
 		late := len(crashes) >= 3 && t.sent.After(crashes[2].Add(stableBound))
 		switch {
 		case len(list) == 0:
 			refused++
 		case late:
-			retries++
+			retries[t] = true
 		}
 	}
+	w.noteAll(c.tries, all, retries)
 	w.record.say("%d runners crashed; the deadly request reached runners in %d retries later than %v after the third, and was refused %d times",
-		len(crashes), retries, stableBound, refused)
+		len(crashes), len(retries), stableBound, refused)
 	w.record.say("%d other drafts were cut off", cut)
-	if retries > 3 {
+	if len(retries) > 3 {
 		return broken
 	}
 	return held
--- a/review/kit/hangup.go
+++ b/review/kit/hangup.go
@@ -44,7 +44,7 @@
 	go c.load(3, func(entry int) { c.do(entry, http.MethodGet, "/sheet/2f", "", time.Second, nil) })
 	c.load(12, func(entry int) { c.do(entry, http.MethodPost, "/draft/2f", "one draft", 8*time.Second, draft()) })
 	time.Sleep(time.Second)
-	lost := 0
+	lost := map[*try]bool{}
 	for _, t := range c.tries {
 		at := termed[t.entry]
 		list := all.of(t.id)
@@ -58,11 +58,11 @@
 		if slices.ContainsFunc(list, func(x *run) bool { return x.ended.After(at.Add(graceBound * 5 / 6)) }) {
 			continue
 		}
-		lost++
-		w.note(t, list)
+		lost[t] = true
 	}
-	w.record.say("%d requests, %d lost around SIGTERM", len(c.tries), lost)
-	if lost > 0 {
+	w.noteAll(c.tries, all, lost)
+	w.record.say("%d requests, %d lost around SIGTERM", len(c.tries), len(lost))
+	if len(lost) > 0 {
 		return broken
 	}
 	return held
--- a/review/kit/keyless.go
+++ b/review/kit/keyless.go
@@ -32,19 +32,19 @@
 	go c.load(5, func(entry int) { c.do(entry, http.MethodPost, "/order/2f", "one order", time.Second, nil) })
 	c.load(10, func(entry int) { c.do(entry, http.MethodGet, "/sheet/2f", "", time.Second, nil) })
 	time.Sleep(time.Second)
-	late, ran := 0, 0
+	late, ran := 0, map[*try]bool{}
 	for _, t := range c.tries {
 		if revoked.IsZero() || t.sent.Before(revoked.Add(revokeBound)) {
 			continue
 		}
 		late++
-		if list := all.of(t.id); len(list) > 0 {
-			ran++
-			w.note(t, list)
+		if len(all.of(t.id)) > 0 {
+			ran[t] = true
 		}
 	}
-	w.record.say("%d requests; %d were sent later than %v after their key was taken away, and %d of these ran", len(c.tries), late, revokeBound, ran)
-	if ran > 0 {
+	w.noteAll(c.tries, all, ran)
+	w.record.say("%d requests; %d were sent later than %v after their key was taken away, and %d of these ran", len(c.tries), late, revokeBound, len(ran))
+	if len(ran) > 0 {
 		return broken
 	}
 	return held
--- a/review/kit/silence.go
+++ b/review/kit/silence.go
@@ -41,7 +41,7 @@
 	}()
 	c.load(5, func(entry int) { c.do(entry, http.MethodPost, "/draft/2f", "one draft", 8*time.Second, draft()) })
 	time.Sleep(time.Second)
-	complete, left, refused, cut, kept, planned := 0, 0, 0, 0, 0, 0
+	complete, left, refused, kept, planned, cut := 0, 0, 0, 0, 0, map[*try]bool{}
 	for _, t := range c.tries {
 		list := all.of(t.id)
 		switch {
@@ -52,7 +52,7 @@
 		case t.complete:
 			refused++
 		case len(list) > 0:
-			cut++
+			cut[t] = true
 			if t.isKept {
 				kept++
 			}
@@ -61,11 +61,11 @@
 			}) {
 				planned++
 			}
-			w.note(t, list)
 		}
 	}
+	w.noteAll(c.tries, all, cut)
 	w.record.say("%d requests: %d complete, %d left by the client after a gap of %v, %d refused, %d cut off by an entry",
-		len(c.tries), complete, left, maxGap, refused, cut)
+		len(c.tries), complete, left, maxGap, refused, len(cut))
 	w.record.say("of these, %d came on a kept connection, and %d were sent up to %v after SIGHUP to the entry and cut after it",
 		kept, planned, applyBound)
 	if kept > 3 || planned > 0 {
--- a/review/kit/stale.go
+++ b/review/kit/stale.go
@@ -67,17 +67,19 @@
 		at, known := since[t.entry]
 		return known && t.sent.After(at.Add(drainBound))
 	}
-	late, lateAfterAnswer := 0, 0
+	late, lateAfterAnswer, marked := 0, 0, map[*try]bool{}
 	for _, t := range c.tries {
 		reached := slices.ContainsFunc(all.of(t.id), func(x *run) bool { return x.runner == leaving })
 		if reached && isLate(t, passedOn) {
 			lateAfterAnswer++
+			marked[t] = true
 		}
 		if reached && isLate(t, learnt) {
 			late++
-			w.note(t, all.of(t.id))
+			marked[t] = true
 		}
 	}
+	w.noteAll(c.tries, all, marked)
 	w.record.say("%d requests; %d that were sent later than %v after their entry had learnt of it from the store reached the draining runner",
 		len(c.tries), late, drainBound)
 	w.record.say("%d entries had passed on an answer with Server-Leaving; %d requests that were sent later than %v after that reached the runner",
--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -48,6 +48,13 @@
 	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// write writes a line without a time.
+func (r *record) write(line string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintln(r.file, line)
+}
+
 // broken is the exit status of a case, and held and impossible are the others.
 const (
 	held       = 0
