--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -34,7 +34,7 @@
 	for i := range n {
 		r := &runner{
 			world: w, name: fmt.Sprintf("%s-%d", service, i+1), service: service, address: w.address(first+i, 8120),
-			slots: 12, events: 24, gap: 85 * time.Millisecond, work: 15 * time.Millisecond,
+			slots: 12, gap: 85 * time.Millisecond, work: 15 * time.Millisecond,
 		}
 		template(r)
 		if err := r.start(); err != nil {
@@ -45,10 +45,16 @@
 	return list, nil
 }
 
-// draft is the header of a request for a stream.
-func draft() map[string]string {
+// usualEvents is the mean number of events in a stream, and usualMemory the memory of a runner in tokens, by the users' sheet.
+const (
+	usualEvents = 24
+	usualMemory = 280000
+)
+
+// draft is the header of a request for a stream of some events.
+func draft(events int) map[string]string {
 	return map[string]string{
-		"X-Model": "m", "X-Token-Count": "714,96",
+		"X-Model": "m", "X-Token-Count": fmt.Sprintf("%d,%d", promptTokens, events*eventTokens),
 		"X-Prefix-Hash": fmt.Sprintf("5c1e07a2:40,%08x:674", rand.Uint32()),
 	}
 }
--- a/review/kit/deadly.go
+++ b/review/kit/deadly.go
@@ -13,7 +13,7 @@
 	all := newRuns()
 	var mu sync.Mutex
 	var crashes []time.Time
-	w.configure([]map[string]any{streamRoute("models")}, []map[string]any{modelService("models")})
+	w.configure([]map[string]any{streamRoute("models")}, []map[string]any{modelService("models", usualMemory)})
 	if _, err := w.addRunners("models", 40, 6, func(r *runner) {
 		r.arrived = all.add
 		r.deadly = func(q *http.Request, event int) bool {
@@ -37,13 +37,15 @@
 		time.Sleep(3 * time.Second)
 		for range 20 {
 			if w.trouble {
-				go c.do(rand.N(3), http.MethodPost, "/draft/deadly", "deadly draft", 8*time.Second, draft())
+				go c.do(rand.N(3), http.MethodPost, "/draft/deadly", "deadly draft", 8*time.Second, draft(usualEvents))
 			}
 			time.Sleep(2 * time.Second)
 		}
 		close(w.stop)
 	}()
-	c.load(6, func(entry int) { c.do(entry, http.MethodPost, "/draft/2f", "one draft", 8*time.Second, draft()) })
+	c.load(6, func(entry int) {
+		c.do(entry, http.MethodPost, "/draft/2f", "one draft", 8*time.Second, draft(usualEvents))
+	})
 	time.Sleep(time.Second)
 	cut, refused, retries := 0, 0, map[*try]bool{}
 	for _, t := range c.tries {
--- a/review/kit/hangup.go
+++ b/review/kit/hangup.go
@@ -13,7 +13,7 @@
 	all := newRuns()
 	w.configure(
 		[]map[string]any{streamRoute("models"), unsafeRoute("desk"), safeRoute("desk")},
-		[]map[string]any{modelService("models"), deskService("desk")})
+		[]map[string]any{modelService("models", usualMemory), deskService("desk")})
 	if _, err := w.addRunners("models", 40, 4, func(r *runner) { r.arrived = all.add }); err != nil {
 		return w.fail(err)
 	}
@@ -33,8 +33,7 @@
 			w.entries[i].signal(syscall.SIGTERM)
 			time.Sleep(time.Second)
 			if w.trouble {
-				w.record.say("SIGHUP to entry %d", i+1)
-				w.entries[i].signal(syscall.SIGHUP)
+				w.record.say("the settings of entry %d change; SIGHUP, error: %v", i+1, w.entries[i].hangUp())
 			}
 			time.Sleep(11 * time.Second)
 		}
@@ -42,7 +41,9 @@
 	}()
 	go c.load(5, func(entry int) { c.do(entry, http.MethodPost, "/order/2f", "one order", time.Second, nil) })
 	go c.load(3, func(entry int) { c.do(entry, http.MethodGet, "/sheet/2f", "", time.Second, nil) })
-	c.load(12, func(entry int) { c.do(entry, http.MethodPost, "/draft/2f", "one draft", 8*time.Second, draft()) })
+	c.load(12, func(entry int) {
+		c.do(entry, http.MethodPost, "/draft/2f", "one draft", 8*time.Second, draft(usualEvents))
+	})
 	time.Sleep(time.Second)
 	lost := map[*try]bool{}
 	for _, t := range c.tries {
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -25,6 +25,8 @@
 }
 
 func play(one func(w *world) int, folder string) int {
+	// A signal that is caught here has its default action in the entries, also where this program was started with SIGHUP ignored.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	w, err := newWorld(folder)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/kit/runner.go
+++ b/review/kit/runner.go
@@ -19,12 +19,9 @@
 	service string
 	address string
 	slots   int
-	// events and gap describe streams, and work is how long a whole request takes.
-	events int
-	gap    time.Duration
-	work   time.Duration
-	// length returns the number of events of a stream, if it is not the same for all.
-	length func(r *http.Request) int
+	// gap is the time between two events of a stream, and work is how long a whole request takes.
+	gap  time.Duration
+	work time.Duration
 	// memory is what the runner keeps its requests in, nil if it never runs out.
 	memory *memory
 	// deadly reports whether a request crashes the runner after an event.
@@ -39,6 +36,7 @@
 	seq      int
 	state    string
 	isDown   bool
+	beatAt   time.Time
 	listener net.Listener
 	conns    map[net.Conn]bool
 	active   atomic.Int64
@@ -112,6 +110,7 @@
 		"coldLeftMs": 0, "seq": r.seq, "born": r.born,
 	}
 	id := r.id
+	r.beatAt = time.Now()
 	r.mu.Unlock()
 	r.world.store.put("servers", id, spec)
 }
@@ -133,7 +132,7 @@
 		return
 	}
 	r.isDown = true
-	id := r.id
+	id, lapse := r.id, time.Until(r.beatAt.Add(3*heartbeat))
 	_ = r.listener.Close()
 	for c := range r.conns {
 		if tcp, ok := c.(*net.TCPConn); ok {
@@ -142,8 +141,8 @@
 		_ = c.Close()
 	}
 	r.mu.Unlock()
+	time.AfterFunc(lapse, func() { r.world.store.remove("servers", id) })
 	time.AfterFunc(back, func() {
-		r.world.store.remove("servers", id)
 		if err := r.start(); err != nil {
 			r.world.record.say("runner %s did not come back: %v", r.name, err)
 		}
@@ -210,10 +209,9 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	control := http.NewResponseController(w)
-	events := r.events
-	if r.length != nil {
-		events = r.length(q)
-	}
+	_, output, _ := strings.Cut(q.Header.Get("X-Token-Count"), ",")
+	tokens, _ := strconv.Atoi(output)
+	events := tokens / eventTokens
 	var kept *sequence
 	if r.memory != nil {
 		kept = r.memory.add(promptTokens + after*eventTokens)
--- a/review/kit/silence.go
+++ b/review/kit/silence.go
@@ -1,10 +1,9 @@
 package main
 
 import (
-	"hash/fnv"
+	"math/rand/v2"
 	"net/http"
 	"slices"
-	"syscall"
 	"time"
 )
 
@@ -13,13 +12,14 @@
 // all.
 func silence(w *world) int {
 	all := newRuns()
-	w.configure([]map[string]any{streamRoute("models")}, []map[string]any{modelService("models")})
+	capacity := usualMemory
+	if w.trouble {
+		capacity = 4 * (promptTokens + 15*eventTokens)
+	}
+	w.configure([]map[string]any{streamRoute("models")}, []map[string]any{modelService("models", capacity)})
 	if _, err := w.addRunners("models", 40, 4, func(r *runner) {
 		r.arrived = all.add
-		r.length = func(q *http.Request) int { return 8 + int(hash(q.Header.Get("X-Request-Id"))%53) }
-		if w.trouble {
-			r.memory = &memory{capacity: 4 * (promptTokens + 15*eventTokens)}
-		}
+		r.memory = &memory{capacity: capacity}
 	}); err != nil {
 		return w.fail(err)
 	}
@@ -33,13 +33,14 @@
 		for n := range 12 {
 			i := n % len(w.entries)
 			hungUp[i] = append(hungUp[i], time.Now())
-			w.record.say("SIGHUP to entry %d", i+1)
-			w.entries[i].signal(syscall.SIGHUP)
+			w.record.say("the settings of entry %d change; SIGHUP, error: %v", i+1, w.entries[i].hangUp())
 			time.Sleep(4 * time.Second)
 		}
 		close(w.stop)
 	}()
-	c.load(5, func(entry int) { c.do(entry, http.MethodPost, "/draft/2f", "one draft", 8*time.Second, draft()) })
+	c.load(5, func(entry int) {
+		c.do(entry, http.MethodPost, "/draft/2f", "one draft", 8*time.Second, draft(8+rand.N(53)))
+	})
 	time.Sleep(time.Second)
 	complete, left, refused, kept, planned, cut := 0, 0, 0, 0, 0, map[*try]bool{}
 	for _, t := range c.tries {
@@ -73,10 +74,3 @@
 	}
 	return held
 }
-
-// hash returns a number that depends on a text only.
-func hash(text string) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(text))
-	return h.Sum32()
-}
--- a/review/kit/world.go
+++ b/review/kit/world.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -119,6 +120,20 @@
 	endedAt []time.Time
 }
 
+// hangUp changes a setting that takes effect at the next start, and sends SIGHUP, as the platform does.
+func (e *entry) hangUp() error {
+	text, err := os.ReadFile(e.file("conf"))
+	if err != nil {
+		return err
+	}
+	changed := strings.Replace(string(text), `"slack": 94`, `"slack": 95`, 1)
+	if err := os.WriteFile(e.file("conf"), []byte(changed), 0o600); err != nil {
+		return err
+	}
+	e.signal(syscall.SIGHUP)
+	return nil
+}
+
 const settings = `// Settings of a kingcupstile daemon, filled in by the platform.
 {
   "role": "entry",
@@ -294,11 +309,12 @@
 	}
 }
 
-func modelService(name string) map[string]any {
+// modelService describes runners with a memory of some tokens.
+func modelService(name string, memory int) map[string]any {
 	return map[string]any{
 		"name": name, "healthPath": "/healthz", "maxConns": 268, "protocol": "h1", "tls": false,
 		"engine": map[string]any{
-			"slots": 12, "kvCapacity": 280000, "stride": 4, "step_ms": 4.55, "per_seq_ms": 0.905, "context_per_k": 0.0183,
+			"slots": 12, "kvCapacity": memory, "stride": 4, "step_ms": 4.55, "per_seq_ms": 0.905, "context_per_k": 0.0183,
 			"read_per_s": 61400.0, "pairs_per_m": 0.525, "chunk": 512, "report_lag_ms": 200.0,
 		},
 	}
