commands: Handle SIGHUP until the process ends

Cause: reloadLevel called signal.Stop for SIGHUP when SIGTERM came. That restores the default action, which ends the process, while the entry drained for up to 7.5 s more. The same cause: the project's own daemon never listened for SIGHUP and ended while it served, and both daemons read their settings before they listened for any signal.

Change: both daemons handle SIGTERM, SIGINT and SIGHUP from their first call to the end of the process. The level of the log is reloaded in every stage, now by the project's own daemon, too.

Ruled out: an error of the reload, which is only logged; a second stop, as SIGHUP cancels nothing.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -27,44 +26,35 @@
 			if c.Args().Len() != 1 {
 				return fault.Newf("run daemon", KindUsage, "name one settings file")
 			}
+			stop, kill, hangups, release := handleSignals(ctx)
+			defer release()
 			file := c.Args().First()
-			text, err := os.ReadFile(file)
-			if err != nil {
-				return fault.New("run daemon", KindFiles, err)
-			}
-			settings, err := parser.ParseSettings(file, text)
+			settings, err := readSettings(file)
 			if err != nil {
-				return fault.New("run daemon", KindFiles, err)
+				return err
 			}
-			stop, kill, release := shutdownContexts(ctx)
-			defer release()
-			return daemon.New(settings, daemon.Log(logger.New(out, logger.Level(settings.Level)))).Run(stop, kill)
+			level := &slog.LevelVar{}
+			level.Set(logger.Level(settings.Level))
+			log := logger.New(out, level)
+			running, ended := context.WithCancel(ctx)
+			defer ended()
+			go reloadLevel(running, hangups, level, log, func() (string, bool, error) {
+				next, err := readSettings(file)
+				return next.Level, !next.IsSameExceptLevel(settings), err
+			})
+			return daemon.New(settings, daemon.Log(log)).Run(stop, kill)
 		},
 	}
 }
 
-// shutdownContexts returns a context that ends at the first SIGTERM or SIGINT, one that ends at the second, and a
-// function that ends both and restores the default handling of the signals.
-func shutdownContexts(ctx context.Context) (stop, kill context.Context, release func()) {
-	received := make(chan os.Signal, 2)
-	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT)
-	stop, cancelStop := context.WithCancel(ctx)
-	kill, cancelKill := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go func() {
-		for _, cancel := range []context.CancelFunc{cancelStop, cancelKill} {
-			select {
-			case <-received:
-				cancel()
-			case <-done:
-				return
-			}
-		}
-	}()
-	return stop, kill, func() {
-		signal.Stop(received)
-		close(done)
-		cancelStop()
-		cancelKill()
+func readSettings(file string) (parser.Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return parser.Settings{}, fault.New("run daemon", KindFiles, err)
+	}
+	settings, err := parser.ParseSettings(file, text)
+	if err != nil {
+		return parser.Settings{}, fault.New("run daemon", KindFiles, err)
 	}
+	return settings, nil
 }
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -5,8 +5,6 @@
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -37,6 +35,8 @@
 			Name: settingsFlag, Usage: "the settings file", Required: true, Sources: cli.EnvVars(platform.SettingsVariable),
 		}},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			stop, _, hangups, release := handleSignals(ctx)
+			defer release()
 			file := c.String(settingsFlag)
 			settings, err := readPlatformSettings(file)
 			if err != nil {
@@ -47,9 +47,12 @@
 			level := &slog.LevelVar{}
 			level.Set(logger.Level(settings.Level))
 			log := logger.New(queue, level)
-			stop, _, release := shutdownContexts(ctx)
-			defer release()
-			go reloadLevel(stop, file, settings, level, log)
+			running, ended := context.WithCancel(ctx)
+			defer ended()
+			go reloadLevel(running, hangups, level, log, func() (string, bool, error) {
+				next, err := readPlatformSettings(file)
+				return next.Level, !next.IsSameExceptLevel(settings), err
+			})
 			return servePlatform(stop, settings, log)
 		},
 	}
@@ -109,26 +112,3 @@
 		m.ReportCounter("kingcup_store_calls", map[string]string{"method": method, "kind": kind, "outcome": string(outcome)}, 1)
 	}
 }
-
-// reloadLevel reads the settings again at each SIGHUP until ctx ends. Only a new log level takes effect at once; other
-// settings take effect at the next start.
-func reloadLevel(ctx context.Context, file string, running parser.PlatformSettings, level *slog.LevelVar, log *slog.Logger) {
-	received := make(chan os.Signal, 1)
-	signal.Notify(received, syscall.SIGHUP)
-	defer signal.Stop(received)
-	for {
-		select {
-		case <-received:
-		case <-ctx.Done():
-			return
-		}
-		next, err := readPlatformSettings(file)
-		if err != nil {
-			log.Warn("reloading settings failed; log level stays as it is", "error", err)
-			continue
-		}
-		level.Set(logger.Level(next.Level))
-		log.Info("settings reloaded; only the log level takes effect before a restart",
-			"level", next.Level, "others_changed", !next.IsSameExceptLevel(running))
-	}
-}
--- a/commands/standalone.go
+++ b/commands/standalone.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os/signal"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -64,7 +66,7 @@
 				go func() { _ = server.Serve(l) }()
 			}
 			_, _ = fmt.Fprintf(out, "stand-ins serve; the platform is at %s\n", loopback(base))
-			stop, _, release := shutdownContexts(ctx)
+			stop, release := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 			defer release()
 			<-stop.Done()
 			return nil
--- a/protocol/parser/settings.go
+++ b/protocol/parser/settings.go
@@ -30,6 +30,12 @@
 	Fences bool          `json:"fences"`
 }
 
+// IsSameExceptLevel reports whether two settings differ in nothing but the log level.
+func (s Settings) IsSameExceptLevel(other Settings) bool {
+	s.Level = other.Level
+	return s == other
+}
+
 // DefaultGrace is the grace period of a daemon whose settings set none.
 const DefaultGrace = 2 * time.Minute
 
