commands: Go on when nobody reads the log

What operators would see: a daemon ends with all requests in progress at the first log line after the reader of its standard output has gone.

Cause: a failed write to descriptor 1 or 2 raises SIGPIPE, which was left to its default action; the log queue, which counts such writes as dropped lines, never got to it.

Change: daemons ignore SIGPIPE.

Evidence: TestClosedOutputEndsNoDaemon failed before ("signal: broken pipe") and passes.

--- a/commands/hangup_test.go
+++ b/commands/hangup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -130,3 +131,19 @@
 		})
 	}
 }
+
+// TestClosedOutputEndsNoDaemon guards against daemons that SIGPIPE ends once nobody reads their log.
+func TestClosedOutputEndsNoDaemon(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	check(t, err)
+	command, address := startPlatformEntry(t, writer)
+	check(t, errors.Join(reader.Close(), writer.Close()))
+	for range 3 {
+		events, err := draftAtEntry(t, address, func() { check(t, command.Process.Signal(syscall.SIGHUP)) })
+		if err != nil || events != signalLines {
+			t.Errorf("%d events, %v", events, err)
+		}
+	}
+	check(t, command.Process.Signal(syscall.SIGTERM))
+	check(t, command.Wait())
+}
--- a/commands/signals.go
+++ b/commands/signals.go
@@ -13,11 +13,12 @@
 // handleSignals returns a context that ends at the first SIGTERM or SIGINT, one that ends at the second, a channel that
 // receives each SIGHUP, and a function that ends both contexts and restores the default handling of the signals. A daemon
 // calls it before it does anything else and releases it last, as the default action of each of these signals ends the
-// process with the requests in progress.
+// process with the requests in progress. SIGPIPE is ignored, as a daemon goes on when nobody reads its log.
 func handleSignals(ctx context.Context) (stop, kill context.Context, hangups <-chan os.Signal, release func()) {
 	received, reloads := make(chan os.Signal, 2), make(chan os.Signal, 1)
 	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reloads, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	stop, cancelStop := context.WithCancel(ctx)
 	kill, cancelKill := context.WithCancel(ctx)
 	done := make(chan struct{})
@@ -34,6 +35,7 @@
 	return stop, kill, reloads, func() {
 		signal.Stop(received)
 		signal.Stop(reloads)
+		signal.Reset(syscall.SIGPIPE)
 		close(done)
 		cancelStop()
 		cancelKill()
