suspect, overseer, forwarder: Count crashes under answers that had begun

Cause: a loss was evidence only if the runner had not begun to answer, as one crash strikes a dozen sound requests. That a request is there at crash after crash was thrown away with it.

Change: an answer that was broken off counts as a crash once the loss of that start of the runner is confirmed (nothing listens, another start has the address, or the registration is gone), and is dropped if the runner answers a later request or leaves. A whole answer clears its request, at all entries. The third crash since then refuses it for 10 minutes, as before. Heartbeats carry what became known lately, not what happened lately, as losses are confirmed late.

Ruled out: the spreading of evidence, which holds such a request back if it crashes runners before its first event.

--- a/coordination/overseer/crashes.go
+++ b/coordination/overseer/crashes.go
@@ -39,20 +39,21 @@
 	return now-max(e.listedAt, e.returnedAt) < s.repeatTime()
 }
 
-// crashesFor returns the crashes to report to another entry, the newest first: those of the last crashRepeats
-// heartbeats, or all on record to a newcomer. Both are cut off at maxCrashesPerHeartbeat.
+// crashesFor returns the crashes to report to another entry, those under the request with the most of them first: those that
+// became known here in the last crashRepeats heartbeats, or all on record to a newcomer, of either at most
+// maxCrashesPerHeartbeat.
 func (s State) crashesFor(e entry, now time.Duration) []suspect.Crash {
 	since := now - s.repeatTime()
 	if s.isNewcomer(e, now) {
 		since = now - suspect.CrashRetention
 	}
-	list := s.crashes.Since(since)
+	list := s.crashes.KnownSince(since)
 	return list[:min(len(list), maxCrashesPerHeartbeat)]
 }
 
 func (s State) withCrash(e RunnerCrashed) (State, []Effect) {
 	c := suspect.Crash{Fingerprint: e.Fingerprint, Runner: runner.IncarnationKey(e.Runner, e.StartedAt), At: e.At}
-	s, lost := s.withNewCrash(c)
+	s, lost := s.withNewCrash(c, e.At)
 	s, judged := s.withSightings(e)
 	runners, _ := s.crashes.CountFor(e.Fingerprint)
 	crash := Log{Message: "runner lost that held an unanswered request", Args: []any{
@@ -68,17 +69,18 @@
 	for _, c := range b.Crashes {
 		c.At = at - (b.Sent - c.At)
 		var lost []Effect
-		s, lost = s.withNewCrash(c)
+		s, lost = s.withNewCrash(c, at)
 		effects = append(effects, lost...)
 	}
 	return s, effects
 }
 
-// withNewCrash adds a crash, and reports the loss of the runner if no crash of it was known.
-func (s State) withNewCrash(c suspect.Crash) (State, []Effect) {
+// withNewCrash adds a crash, and reports the loss of the runner if no crash of it was known. One under an answer that had begun
+// is known only some time after the loss, when it is no news of an outage.
+func (s State) withNewCrash(c suspect.Crash, now time.Duration) (State, []Effect) {
 	isKnown := s.crashes.HasRunner(c.Runner, c.At)
-	s.crashes = s.crashes.With(c)
-	if isKnown {
+	s.crashes = s.crashes.With(now, c)
+	if isKnown || c.Begun {
 		return s, nil
 	}
 	r, found := s.runners.ByKey(c.Runner)
@@ -88,8 +90,9 @@
 	return s, []Effect{RunnerLost{Service: r.Service(), At: c.At}}
 }
 
-// withoutExpiredCrashes drops crashes older than suspect.CrashRetention.
+// withoutExpiredCrashes drops crashes older than suspect.CrashRetention, and broken answers older than cutPeriod.
 func (s State) withoutExpiredCrashes(at time.Duration) State {
+	s.cuts = s.cuts.WithoutBefore(at - cutPeriod)
 	s.crashes = s.crashes.WithoutBefore(at - suspect.CrashRetention)
 	return s
 }
--- a/coordination/overseer/event.go
+++ b/coordination/overseer/event.go
@@ -71,6 +71,30 @@
 	At    time.Duration
 }
 
+// AnswerCut reports that a runner broke off its answer to a request: it closed the connection after it had begun to answer.
+type AnswerCut struct {
+	Fingerprint suspect.Fingerprint
+	Runner      string
+	// StartedAt is the start time of the runner in Unix milliseconds, 0 if unknown.
+	StartedAt int64
+	At        time.Duration
+}
+
+// RunnerSeen reports whether a runner that broke off answers is alive: it answers a request, or it is not at its address.
+type RunnerSeen struct {
+	Runner    string
+	StartedAt int64
+	Alive     bool
+	// SentAt is when the request was sent that showed this.
+	SentAt time.Duration
+}
+
+// RequestAnswered reports that a request of which crashes are known was answered in full.
+type RequestAnswered struct {
+	Fingerprint suspect.Fingerprint
+	At          time.Duration
+}
+
 // PartsAnswered reports that a runner began to answer a request with some parts in its prompt.
 type PartsAnswered struct {
 	Parts []suspect.Part
@@ -98,6 +122,9 @@
 func (PeersChanged) isEvent()      {}
 func (HeartbeatReceived) isEvent() {}
 func (RunnerCrashed) isEvent()     {}
+func (AnswerCut) isEvent()         {}
+func (RunnerSeen) isEvent()        {}
+func (RequestAnswered) isEvent()   {}
 func (PartsAnswered) isEvent()     {}
 func (RunnerLeaves) isEvent()      {}
 func (Tick) isEvent()              {}
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -106,6 +106,8 @@
 	// by this entry or reported by others.
 	crashes suspect.Crashes
 	parts   suspect.Parts
+	// cuts are the answers that runners broke off lately, of which it is not known yet whether these are lost.
+	cuts suspect.Cuts
 	// leavers are the runners that leave although they are registered as ready, by identifier, and drained is when the store
 	// last told that runners leave or are gone, by their short keys.
 	leavers map[string]leaver
@@ -194,7 +196,7 @@
 		if e.heardAt > 0 {
 			b.Echo, b.EchoStart, b.EchoDelay = e.heartbeat.Sent, e.heartbeat.Start, now-e.heardAt
 		}
-		b.Crashes, b.Parts = s.crashesFor(e, now), s.partsFor(e, now)
+		b.Crashes, b.Answers, b.Parts = s.crashesFor(e, now), s.answersFor(e, now), s.partsFor(e, now)
 		heartbeats[to.Beats] = b
 	}
 	return heartbeats
--- a/coordination/overseer/step.go
+++ b/coordination/overseer/step.go
@@ -8,6 +8,7 @@
 	"github.com/kingcupstile/kingcupstile/state/peer"
 	"github.com/kingcupstile/kingcupstile/state/routing"
 	"github.com/kingcupstile/kingcupstile/state/runner"
+	"github.com/kingcupstile/kingcupstile/state/suspect"
 )
 
 // Step applies an event to a state and returns the new state with the effects to carry out, in order.
@@ -19,13 +20,17 @@
 		return s.withConfirmation(e.RequestedAt), nil
 	case RunnersListed:
 		s.runnersAsOf, s.runnersLast = max(s.runnersAsOf, e.Revision), max(s.runnersLast, s.runnersAsOf)
-		return s.withRunnerList(e.Runners, e.At)
+		s, effects := s.withRunnerList(e.Runners, e.At)
+		s, lost := s.withCutsJudged(e.At)
+		return s, append(effects, lost...)
 	case RunnersChanged:
 		s.runnersAsOf = max(s.runnersAsOf, e.Revision)
 		for _, c := range e.Changes {
 			s.runnersLast = max(s.runnersLast, c.Revision)
 		}
-		return s.withRunnerChanges(e.Changes, e.At)
+		s, effects := s.withRunnerChanges(e.Changes, e.At)
+		s, lost := s.withCutsJudged(e.At)
+		return s, append(effects, lost...)
 	case StoreUnreachable:
 		return s.withStoreUnreachable(e.At)
 	case PeersListed:
@@ -34,10 +39,6 @@
 		return s.withPeerChanges(e.Changes, e.At), nil
 	case HeartbeatReceived:
 		return s.withHeartbeat(e.Heartbeat, e.At)
-	case RunnerCrashed:
-		return s.withCrash(e)
-	case PartsAnswered:
-		return s.withPartsAnswered(e)
 	case RunnerLeaves:
 		return s.withLeaver(e)
 	case Tick:
@@ -46,6 +47,23 @@
 		s.leaving = true
 		return s, []Effect{Log{Message: "entry leaves"}}
 	}
+	return s.withEvidence(event)
+}
+
+// withEvidence applies an event that accuses a request of crashes or clears it.
+func (s State) withEvidence(event Event) (State, []Effect) {
+	switch e := event.(type) {
+	case RunnerCrashed:
+		return s.withCrash(e)
+	case AnswerCut:
+		return s.withCut(e), nil
+	case RunnerSeen:
+		return s.withRunnerSeen(e)
+	case RequestAnswered:
+		s.crashes = s.crashes.WithAnswer(suspect.Answer{Fingerprint: e.Fingerprint, At: e.At}, e.At)
+	case PartsAnswered:
+		return s.withPartsAnswered(e)
+	}
 	return s, nil
 }
 
@@ -209,6 +227,7 @@
 	e.heartbeat, e.heardAt = b, at
 	s = s.withEntry(e).withRelayedAge(b, at).withSilences(b, at).withRelayedOutage(b, at).withInformed(b).withPeerLeavers(b, at)
 	s, lost := s.withPeerCrashes(b, at)
+	s = s.withPeerAnswers(b, at)
 	s, judged := s.withPeerParts(b, at)
 	return s, append(lost, judged...)
 }
--- a/protocol/messenger/entry.go
+++ b/protocol/messenger/entry.go
@@ -30,9 +30,12 @@
 	}
 	for _, c := range b.Crashes {
 		m.Crashes = append(m.Crashes, &wire.EntryCrash{
-			Fingerprint: string(c.Fingerprint), Runner: c.Runner, Ago: (b.Sent - c.At).Microseconds(),
+			Fingerprint: string(c.Fingerprint), Runner: c.Runner, Ago: (b.Sent - c.At).Microseconds(), Begun: c.Begun,
 		})
 	}
+	for _, a := range b.Answers {
+		m.Answers = append(m.Answers, &wire.EntryAnswer{Fingerprint: string(a.Fingerprint), Ago: (b.Sent - a.At).Microseconds()})
+	}
 	for _, l := range b.Leavers {
 		m.Leavers = append(m.Leavers, l.Runner)
 		m.Since = append(m.Since, uint32(max(0, l.Age.Milliseconds())))
@@ -97,6 +100,12 @@
 	for _, c := range m.GetCrashes() {
 		b.Crashes = append(b.Crashes, suspect.Crash{
 			Fingerprint: suspect.Fingerprint(c.GetFingerprint()), Runner: c.GetRunner(), At: b.Sent - fromMicroseconds(c.GetAgo()),
+			Begun: c.GetBegun(),
+		})
+	}
+	for _, a := range m.GetAnswers() {
+		b.Answers = append(b.Answers, suspect.Answer{
+			Fingerprint: suspect.Fingerprint(a.GetFingerprint()), At: b.Sent - fromMicroseconds(a.GetAgo()),
 		})
 	}
 	for i, key := range m.GetLeavers() {
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -56,6 +56,8 @@
 	leaving       bool
 	retryAfter    string
 	crashBody     string
+	lateCrashBody string
+	onCrash       func()
 	pauseBody     string
 	pause         time.Duration
 	crashPart     string
@@ -98,6 +100,14 @@
 	r.crashBody = body
 }
 
+// CrashLateOnBody makes the runner crash after the first event of its answer to a request with this body: the connections of all
+// streams end at once, after onCrash was called.
+func (r *Runner) CrashLateOnBody(body string, onCrash func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lateCrashBody, r.onCrash = body, onCrash
+}
+
 // PauseOnBody makes the runner pause in its answers to requests with this body: after two events of a stream, and before any
 // other answer.
 func (r *Runner) PauseOnBody(body string, pause time.Duration) {
@@ -114,7 +124,7 @@
 	r.crashPart = part
 }
 
-// Crashes returns how often the runner crashed on a part.
+// Crashes returns how often the runner crashed on a part, or late on a body.
 func (r *Runner) Crashes() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -135,15 +145,23 @@
 	parts := strings.Split(q.Header.Get("X-Prefix-Hash"), ",")
 	for _, part := range parts[:len(parts)-1] {
 		if name, _, _ := strings.Cut(strings.TrimSpace(part), ":"); r.crashPart != "" && name == r.crashPart {
-			r.crashes++
-			close(r.crashed)
-			r.crashed = make(chan struct{})
+			r.recordCrash()
 			return true
 		}
 	}
 	return false
 }
 
+// recordCrash counts a crash and has all streams end. The runner must be locked.
+func (r *Runner) recordCrash() {
+	r.crashes++
+	if r.onCrash != nil {
+		r.onCrash()
+	}
+	close(r.crashed)
+	r.crashed = make(chan struct{})
+}
+
 // Runs returns the requests that the runner accepted, in order; shed and misdirected ones are left out.
 func (r *Runner) Runs() []Run {
 	r.mu.Lock()
@@ -188,7 +206,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	crashes, pause := r.run(q, string(body))
+	crashes, crashesLate, pause := r.run(q, string(body))
 	r.mu.Unlock()
 	if crashes {
 		r.crash(http.NewResponseController(w))
@@ -203,21 +221,21 @@
 	case fault == FaultError:
 		w.WriteHeader(http.StatusInternalServerError)
 	case strings.HasPrefix(q.URL.Path, "/draft/"):
-		r.stream(w, q, fault, pause)
+		r.stream(w, q, fault, crashesLate, pause)
 	default:
 		time.Sleep(pause)
 		r.whole(w, q, fault)
 	}
 }
 
-// run records a request that the runner accepts, and returns whether it crashes the runner and for how long the answer pauses.
-// The runner must be locked.
-func (r *Runner) run(q *http.Request, body string) (crashes bool, pause time.Duration) {
+// run records a request that the runner accepts, and returns whether it crashes the runner before the answer or after the first
+// event, and for how long the answer pauses. The runner must be locked.
+func (r *Runner) run(q *http.Request, body string) (crashes, crashesLate bool, pause time.Duration) {
 	r.runs = append(r.runs, Run{Method: q.Method, Target: q.RequestURI, Body: body, Header: q.Header.Clone(), At: time.Now()})
 	if r.pauseBody != "" && r.pauseBody == body {
 		pause = r.pause
 	}
-	return r.crashBody != "" && r.crashBody == body, pause
+	return r.crashBody != "" && r.crashBody == body, r.lateCrashBody != "" && r.lateCrashBody == body, pause
 }
 
 // awaitDisconnect blocks until the caller disconnects, and counts it.
@@ -250,7 +268,7 @@
 	_, _ = io.WriteString(w, text)
 }
 
-func (r *Runner) stream(w http.ResponseWriter, q *http.Request, fault Fault, pause time.Duration) {
+func (r *Runner) stream(w http.ResponseWriter, q *http.Request, fault Fault, crashesLate bool, pause time.Duration) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, err := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	if err != nil {
@@ -279,6 +297,11 @@
 			return
 		}
 		_ = control.Flush()
+		if crashesLate {
+			r.mu.Lock()
+			r.recordCrash()
+			r.mu.Unlock()
+		}
 		interval := r.EventInterval
 		if n == after+2 {
 			interval += pause
--- a/state/peer/peer.go
+++ b/state/peer/peer.go
@@ -45,6 +45,8 @@
 	InFlight map[uint32]InFlight
 	// Crashes lists the latest losses of runners during requests that the sender knows of, with times on its own clock.
 	Crashes []suspect.Crash
+	// Answers lists the requests with such losses that were answered in full since, with times on the sender's clock.
+	Answers []suspect.Answer
 	// Parts is the latest evidence about parts of prompts that may crash runners, with times on the sender's clock.
 	Parts []suspect.Evidence
 	// Leavers are the runners of which the sender knows that they leave.
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -44,6 +44,8 @@
 	lostRunner bool
 	// restEnd is when the first runner wants requests again, 0 if one does now.
 	restEnd time.Duration
+	// identity is the request's fingerprint, empty until it is first needed.
+	identity suspect.Fingerprint
 	// denied is the refusal that forbids any further attempt, nil if there is none.
 	denied *refusal
 	// lastFailure is why the last attempt failed, for the log.
@@ -145,7 +147,10 @@
 
 // fingerprint identifies requests of one account to one service with the same method, target and body.
 func (x *exchange) fingerprint() suspect.Fingerprint {
-	return suspect.Identify(x.service+" "+x.access.account.Name(), x.httpRequest.Method, x.httpRequest.RequestURI, x.body)
+	if x.identity == "" {
+		x.identity = suspect.Identify(x.service+" "+x.access.account.Name(), x.httpRequest.Method, x.httpRequest.RequestURI, x.body)
+	}
+	return x.identity
 }
 
 // maxLoggedParts bounds the parts of a prompt in a log line.
@@ -162,6 +167,9 @@
 func (x *exchange) forward(f attempt.Frame) bool {
 	if f.IsLast() {
 		x.forwarder.tracker.ClearFailures(x.runner.ID())
+		if isSuccess(x.writer.status) {
+			x.recordWhole()
+		}
 		x.count("ran")
 		return true
 	}
@@ -196,7 +204,7 @@
 		"ms", (x.forwarder.clock.Now() - x.arrivedAt).Milliseconds(), "caller_left", callerLeft, "expired", ctx.Err() != nil,
 		"detail", x.lastFailure, "retry_ms", r.retryAfter.Milliseconds())
 	x.count(action.Reason)
-	if x.writer.started {
+	if x.writer.status > 0 {
 		x.writer.abort()
 		return
 	}
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -160,7 +160,7 @@
 	x := c.exchange
 	answer := c.connection.Answer() //nolint:bodyclose // closing the exchange closes the body
 	reply := x.forwarder.dialect.ParseReply(answer.StatusCode, answer.Header)
-	x.forwarder.recordReply(c.runner.ID(), reply)
+	x.forwarder.recordReply(c.runner, reply, c.sentAt)
 	success := isSuccess(answer.StatusCode)
 	switch {
 	case reply.ID != "" && reply.ID != x.request.ID:
@@ -188,17 +188,26 @@
 }
 
 // recordReply records what the head of an answer, to whatever request, says of the runner that sent it.
-func (f *Forwarder) recordReply(runner string, reply demand.Reply) {
+func (f *Forwarder) recordReply(r runner.Runner, reply demand.Reply, sentAt time.Duration) {
 	now := f.clock.Now()
+	// A misdirected request shows that another start of a runner has the address.
+	f.recordSeen(r, !reply.Misdirected, sentAt)
 	if reply.Leaving {
-		f.report(overseer.RunnerLeaves{Runner: runner, At: now})
+		f.report(overseer.RunnerLeaves{Runner: r.ID(), At: now})
 	}
 	if reply.HasInvalidRetryAfter {
 		f.scope.Counter("invalid_retry_after").Inc(1)
-		f.log.Warn("runner gave a Retry-After that cannot be read; taking the default", "runner", runner, "default", reply.RetryAfter)
+		f.log.Warn("runner gave a Retry-After that cannot be read; taking the default", "runner", r.ID(), "default", reply.RetryAfter)
 	}
 	if reply.Refused {
-		f.tracker.RecordRest(runner, reply.RetryAfter, now)
+		f.tracker.RecordRest(r.ID(), reply.RetryAfter, now)
+	}
+}
+
+// recordSeen records whether a runner is alive, if it broke off an answer lately.
+func (f *Forwarder) recordSeen(r runner.Runner, alive bool, sentAt time.Duration) {
+	if f.snapshot().HasCut(r) {
+		f.report(overseer.RunnerSeen{Runner: r.ID(), StartedAt: r.StartedAt(), Alive: alive, SentAt: sentAt})
 	}
 }
 
@@ -367,11 +376,16 @@
 	if !c.withdrawn.Load() {
 		x.forwarder.tracker.RecordFailure(c.runner.ID(), now)
 	}
-	if sent && conduit.IsClosedByPeer(err) && c.lastEventAt == 0 {
-		x.recordLoss(c.runner, now)
-	}
-	if conduit.IsRefused(err) {
+	switch {
+	case conduit.IsRefused(err):
+		x.forwarder.recordSeen(c.runner, false, c.sentAt)
 		x.forwarder.recordOutage(x.service, now)
+	case sent && conduit.IsClosedByPeer(err) && c.lastEventAt == 0:
+		x.recordLoss(c.runner, now)
+	case sent && conduit.IsClosedByPeer(err):
+		x.forwarder.report(overseer.AnswerCut{
+			Fingerprint: x.fingerprint(), Runner: c.runner.ID(), StartedAt: c.runner.StartedAt(), At: now,
+		})
 	}
 	x.forwarder.log.Info("attempt at runner failed; retrying if it is safe and the limits on attempts and retries allow it",
 		"request", x.request.ID, "runner", c.runner.ID(), "service", x.service, "sent", sent, "answered", c.lastEventAt > 0,
--- a/transport/forwarder/screen.go
+++ b/transport/forwarder/screen.go
@@ -98,6 +98,14 @@
 	}
 }
 
+// recordWhole records that the request was answered in full, which clears it of crashes.
+func (x *exchange) recordWhole() {
+	f := x.forwarder
+	if state := f.snapshot(); state.HasCrashes() && state.HasCrashed(x.fingerprint()) {
+		f.report(overseer.RequestAnswered{Fingerprint: x.fingerprint(), At: f.clock.Now()})
+	}
+}
+
 // recordLoss records that a runner was lost before it began to answer the request.
 func (x *exchange) recordLoss(r runner.Runner, now time.Duration) {
 	f := x.forwarder
--- a/transport/forwarder/writer.go
+++ b/transport/forwarder/writer.go
@@ -10,8 +10,8 @@
 type writer struct {
 	out     http.ResponseWriter
 	control *http.ResponseController
-	// started is whether the answer's status line was written.
-	started bool
+	// status is that of the answer whose status line was written, 0 if none was.
+	status int
 }
 
 func newWriter(w http.ResponseWriter) *writer {
@@ -21,7 +21,7 @@
 // write writes a frame to the caller and flushes its data.
 func (w *writer) write(f attempt.Frame) error {
 	if f.Status() > 0 {
-		w.started = true
+		w.status = f.Status()
 		h := w.out.Header()
 		for name, values := range f.Header() {
 			h[name] = values
--- a/transport/gateway/crash_test.go
+++ b/transport/gateway/crash_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/kingcupstile/kingcupstile/standin/site"
 )
 
 // crashes returns how often the runners of the pool crashed on a part of a prompt.
@@ -120,3 +124,53 @@
 	}
 	return strings.Join(names, ",")
 }
+
+// TestRequestThatCrashesRunnersLateIsRefused guards against requests that crash one runner after the other in the middle of the
+// answer, and against the refusal of sound ones that are there each time. Runners that crash start anew under other names.
+func TestRequestThatCrashesRunnersLateIsRefused(t *testing.T) {
+	d := newDeployment(t)
+	arm := func(r *site.Runner, l net.Listener) {
+		r.EventInterval = 20 * time.Millisecond
+		r.CrashLateOnBody("poison", func() { _ = l.Close() })
+	}
+	for _, id := range []string{"pool-a", "pool-b"} {
+		d.store.Remove("servers", id)
+		delete(d.runners, id)
+	}
+	starts := 0
+	start := func() {
+		starts++
+		d.add(fmt.Sprint("pool-start-", starts), "pool", arm)
+	}
+	start()
+	start()
+	restart := func() {
+		for id, r := range d.runners {
+			if r.Crashes() > 0 && d.addresses[id] != "" {
+				d.store.Remove("servers", id)
+				d.addresses[id] = ""
+				start()
+			}
+		}
+	}
+	d.await("used", func() bool { return d.call(http.MethodPost, "/draft/x", "sound", nil).status == http.StatusOK })
+	var last answer
+	for n := range 12 {
+		sound := make(chan answer, 1)
+		go func() { sound <- d.call(http.MethodPost, "/draft/x", "sound", nil) }()
+		last = d.call(http.MethodPost, "/draft/x", "poison", map[string]string{"X-Other": fmt.Sprint(n)})
+		<-sound
+		// A registration lapses only some time after the crash.
+		time.Sleep(50 * time.Millisecond)
+		restart()
+		d.await("a sound request that was there served", func() bool {
+			return d.call(http.MethodPost, "/draft/x", "sound", nil).body == events(1, 5)
+		})
+	}
+	if n := d.crashes(); n < 3 || n > 6 {
+		t.Errorf("%d crashes, want three and as many more as the platform allows", n)
+	}
+	if last.status != http.StatusServiceUnavailable || last.header.Get("Retry-After") == "" {
+		t.Errorf("the last request that crashes runners got %+v", last)
+	}
+}
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,11 +111,14 @@
 	d.await("ready", func() bool { return d.status("http://"+d.settings.Ready+"/kingcupstile/readyz") == http.StatusOK })
 }
 
-// add starts a runner and registers it.
-func (d *deployment) add(id, service string) {
+// add starts a runner, arranged by functions, and registers it.
+func (d *deployment) add(id, service string, arrange ...func(*site.Runner, net.Listener)) {
 	r := site.NewRunner(id)
 	server := httptest.NewServer(r)
 	d.t.Cleanup(server.Close)
+	for _, f := range arrange {
+		f(r, server.Listener)
+	}
 	d.runners[id], d.addresses[id] = r, server.Listener.Addr().String()
 	d.register(id, service, server.Listener.Addr().String(), "ready")
 }
@@ -181,7 +185,7 @@
 	err    error
 }
 
-var requests int
+var requests atomic.Int64
 
 // call sends one request on a connection of its own.
 func (d *deployment) call(method, path, body string, header map[string]string) answer {
@@ -190,9 +194,8 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	requests++
 	r.Host, r.Close = "h.example", true
-	r.Header.Set("X-Request-Id", fmt.Sprint("request-", requests))
+	r.Header.Set("X-Request-Id", fmt.Sprint("request-", requests.Add(1)))
 	r.Header.Set("X-Deadline-Ms", "1200")
 	r.Header.Set("Authorization", "Token "+key)
 	r.Header.Set("X-Tenant", "somebody-else")
