--- a/state/routing/table.go
+++ b/state/routing/table.go
@@ -51,10 +51,13 @@
 // RequireKeys makes requests need a key unless their route is public.
 func RequireKeys() TableOption { return func(t *Table) { t.requiresKeys = true } }
 
-// Keys adds an account with its API keys.
+// Keys adds an account with its API keys; an empty key is left out, as a request without a key has that one.
 func Keys(a Account, keys ...string) TableOption {
 	return func(t *Table) {
 		for _, k := range keys {
+			if k == "" {
+				continue
+			}
 			hash := xxhash.Sum64String(k)
 			t.accounts[hash] = append(t.accounts[hash], credential{key: k, account: a})
 		}
