overseer, platform: Keep what is known where an old listing comes

Cause: cheap listings of the store may be seconds old. One took the place of what was known, although its revision was lower, until the next watch.

Change: a listing that may be old is passed over if it is older than what is known, and changes that are known already are not applied in part; a listing that the store confirms is believed at any revision. The same for the list of entries, and for the copies that entries read from each other.

Ruled out: the spreading of news (the entry itself knew), a late acknowledgement.

--- a/coordination/overseer/event.go
+++ b/coordination/overseer/event.go
@@ -28,7 +28,9 @@
 	Runners []runner.Runner
 	// Revision is the store's revision of the listing.
 	Revision uint64
-	At       time.Duration
+	// Unconfirmed says that the listing may be older than the call for it.
+	Unconfirmed bool
+	At          time.Duration
 }
 
 // RunnersChanged carries changes of runners' registrations.
@@ -45,13 +47,18 @@
 // PeersListed carries all registered entries.
 type PeersListed struct {
 	Peers []peer.Peer
-	At    time.Duration
+	// Revision and Unconfirmed are as in RunnersListed.
+	Revision    uint64
+	Unconfirmed bool
+	At          time.Duration
 }
 
 // PeersChanged carries changes of entries' registrations.
 type PeersChanged struct {
 	Changes []listing.Change[peer.Peer]
-	At      time.Duration
+	// Revision is the store's revision up to which these are all the changes.
+	Revision uint64
+	At       time.Duration
 }
 
 // HeartbeatReceived carries another entry's heartbeat.
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -86,9 +86,10 @@
 	hasTable     bool
 	runners      runner.Set
 	hasRunners   bool
-	// runnersAsOf is the store's revision up to which all changes of runners are known, and runnersLast that of the
-	// last known change.
-	runnersAsOf, runnersLast uint64
+	// runnersAt and peersAt are how far the runners and the other entries are known, and runnersLast is the store's revision of the
+	// last known change of a runner.
+	runnersAt, peersAt position
+	runnersLast        uint64
 	// configBehindSince and runnersBehindSince are since when another entry reports a newer version or revision than this
 	// one has, 0 if none does.
 	configBehindSince, runnersBehindSince time.Duration
--- a/coordination/overseer/step.go
+++ b/coordination/overseer/step.go
@@ -19,24 +19,25 @@
 	case ConfigConfirmed:
 		return s.withConfirmation(e.RequestedAt), nil
 	case RunnersListed:
-		s.runnersAsOf, s.runnersLast = max(s.runnersAsOf, e.Revision), max(s.runnersLast, s.runnersAsOf)
-		s, effects := s.withRunnerList(e.Runners, e.At)
-		s, lost := s.withCutsJudged(e.At)
-		return s, append(effects, lost...)
+		return s.withRunnersListed(e)
 	case RunnersChanged:
-		s.runnersAsOf = max(s.runnersAsOf, e.Revision)
-		for _, c := range e.Changes {
-			s.runnersLast = max(s.runnersLast, c.Revision)
-		}
-		s, effects := s.withRunnerChanges(e.Changes, e.At)
-		s, lost := s.withCutsJudged(e.At)
-		return s, append(effects, lost...)
+		return s.withRunnersChanged(e)
 	case StoreUnreachable:
 		return s.withStoreUnreachable(e.At)
 	case PeersListed:
-		return s.withPeerList(e.Peers, e.At), nil
+		next, isNews := s.peersAt.withListing(e.Revision, e.Unconfirmed)
+		s.peersAt = next
+		if isNews {
+			s = s.withPeerList(e.Peers, e.At)
+		}
+		return s, nil
 	case PeersChanged:
-		return s.withPeerChanges(e.Changes, e.At), nil
+		next, isNews := s.peersAt.withChanges(e.Revision)
+		s.peersAt = next
+		if isNews {
+			s = s.withPeerChanges(e.Changes, e.At)
+		}
+		return s, nil
 	case HeartbeatReceived:
 		return s.withHeartbeat(e.Heartbeat, e.At)
 	case RunnerLeaves:
@@ -67,6 +68,36 @@
 	return s, nil
 }
 
+// withRunnersListed takes in a listing of all runners, unless it is older than what is known.
+func (s State) withRunnersListed(e RunnersListed) (State, []Effect) {
+	known := s.runnersAt.asOf
+	next, isNews := s.runnersAt.withListing(e.Revision, e.Unconfirmed)
+	s.runnersAt = next
+	if !isNews {
+		s, effects := s.withStoreReachable(e.At)
+		return s, append(effects, Log{Message: "older listing of runners ignored", Args: []any{"revision", e.Revision, "known", known}})
+	}
+	s.runnersLast = e.Revision
+	s, effects := s.withRunnerList(e.Runners, e.At)
+	s, lost := s.withCutsJudged(e.At)
+	return s, append(effects, lost...)
+}
+
+// withRunnersChanged takes in changes of runners, unless they are known already.
+func (s State) withRunnersChanged(e RunnersChanged) (State, []Effect) {
+	next, isNews := s.runnersAt.withChanges(e.Revision)
+	s.runnersAt = next
+	if !isNews {
+		return s.withStoreReachable(e.At)
+	}
+	for _, c := range e.Changes {
+		s.runnersLast = max(s.runnersLast, c.Revision)
+	}
+	s, effects := s.withRunnerChanges(e.Changes, e.At)
+	s, lost := s.withCutsJudged(e.At)
+	return s, append(effects, lost...)
+}
+
 // withConfig adopts a newer configuration and confirms an equal one; an older one is ignored.
 func (s State) withConfig(t routing.Table, requestedAt time.Duration) (State, []Effect) {
 	if s.hasTable && t.Version() < s.table.Version() {
@@ -261,7 +292,7 @@
 	configBehind, runnersBehind := false, false
 	for _, b := range s.Heartbeats(at) {
 		configBehind = configBehind || s.hasTable && b.ConfigVersion > s.table.Version()
-		runnersBehind = runnersBehind || s.hasRunners && b.RunnersRevision > s.runnersAsOf
+		runnersBehind = runnersBehind || s.hasRunners && b.RunnersRevision > s.runnersAt.asOf
 	}
 	tolerance := behindTolerance
 	if s.IsLinked() && !s.IsRelay(at) {
--- a/state/listing/listing.go
+++ b/state/listing/listing.go
@@ -4,7 +4,7 @@
 type Listing[T any] struct {
 	Items    []T
 	Revision uint64
-	// Unconfirmed says that the objects come from a copy, which may be older than the call.
+	// Unconfirmed says that the objects may be older than the call: they come from a copy, or from a cheap listing of the store.
 	Unconfirmed bool
 }
 
--- a/transport/gateway/sinks.go
+++ b/transport/gateway/sinks.go
@@ -88,7 +88,9 @@
 
 // Listed passes on all runners.
 func (s runnerSink) Listed(l listing.Listing[runner.Runner], _ time.Duration) {
-	s.send(overseer.RunnersListed{Runners: l.Items, Revision: l.Revision, At: s.platform.Clock.Now()})
+	s.send(overseer.RunnersListed{
+		Runners: l.Items, Revision: l.Revision, Unconfirmed: l.Unconfirmed, At: s.platform.Clock.Now(),
+	})
 }
 
 // Changed passes on what changed.
@@ -107,12 +109,14 @@
 
 // Listed passes on all entries.
 func (s peerSink) Listed(l listing.Listing[peer.Peer], _ time.Duration) {
-	s.send(overseer.PeersListed{Peers: l.Items, At: s.platform.Clock.Now()})
+	s.send(overseer.PeersListed{
+		Peers: l.Items, Revision: l.Revision, Unconfirmed: l.Unconfirmed, At: s.platform.Clock.Now(),
+	})
 }
 
 // Changed passes on what changed.
 func (s peerSink) Changed(c listing.Changes[peer.Peer], _ time.Duration) {
-	s.send(overseer.PeersChanged{Changes: c.Items, At: s.platform.Clock.Now()})
+	s.send(overseer.PeersChanged{Changes: c.Items, Revision: c.Revision, At: s.platform.Clock.Now()})
 }
 
 // Failed logs that the entries could not be read; the follower retries with backoff.
