forwarder: Leave a rank that began nothing for one that accepted the request

Cause: since a pause no longer ends an attempt, both attempts of a stream stayed open. A leader that froze held its group; the rank that had admitted a request before could not drop it when the caller left, the other one did so in 4 ms.

Change: of two attempts at ranks of one group of which the first has begun nothing, the first ends once the second was accepted (200 ms; refusals come within milliseconds). An answer that has begun keeps both, and outside groups nothing changes.

Ruled out: connections that stay open after the caller left (the second rank saw the close at once).

Evidence: TestRankThatBeganNothingIsLeftForAnother fails without the change.

--- a/transport/forwarder/standby.go
+++ b/transport/forwarder/standby.go
@@ -20,6 +20,8 @@
 	// at least.
 	pauseInterval    = stallTimeout / 2
 	minPauseInterval = stallTimeout / 8
+	// acceptTime is how long after it began an attempt counts as accepted by its runner: refusals come within milliseconds.
+	acceptTime = 200 * time.Millisecond
 )
 
 // errEnded is that the request ended, or that the entry withdrew the attempt.
@@ -52,6 +54,7 @@
 			event = x.ofStandby(x.standby.handleFailure(ctx, errEnded, true))
 		case <-timer.C:
 			x.checkPause(ctx)
+			x.checkAccepted()
 			timer.Reset(pauseInterval)
 		}
 		if event != nil {
@@ -164,6 +167,18 @@
 	x.standby.start()
 }
 
+// checkAccepted has an accepted standby take the place of an attempt that has begun nothing, if the two runners are ranks of a group.
+// These advance together, so that the first has no lead over the second; and a rank whose group is held or stalled cannot drop a
+// request that it has admitted, as it would have to when the caller leaves.
+func (x *exchange) checkAccepted() {
+	if x.standby == nil || !x.access.route.IsStream() || x.call.lastEventAt > 0 {
+		return
+	}
+	if _, isGroup := x.forwarder.outage(x.service); isGroup && x.forwarder.clock.Now()-x.standby.sentAt >= acceptTime {
+		x.promote("accepted")
+	}
+}
+
 // countStandby counts what became of attempts beside others.
 func (x *exchange) countStandby(outcome string) {
 	x.forwarder.scope.Tagged(map[string]string{"service": x.service, "outcome": outcome}).Counter("standbys").Inc(1)
--- a/transport/forwarder/standby_test.go
+++ b/transport/forwarder/standby_test.go
@@ -102,3 +102,25 @@
 		})
 	}
 }
+
+// TestRankThatBeganNothingIsLeftForAnother guards against two ranks of one group that both keep a request which neither has begun, so
+// that neither can drop it when the caller leaves while the group is held.
+func TestRankThatBeganNothingIsLeftForAnother(t *testing.T) {
+	w := newWorld(t, 2)
+	first, second := w.runners["pool-0"], w.runners["pool-1"]
+	first.SetFault(site.FaultNoAnswer)
+	second.SetFault(site.FaultNoAnswer)
+	w.open[w.address["pool-1"]] = slots - 1
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.call()
+	}()
+	for deadline := time.Now().Add(3 * time.Second); first.Disconnects() == 0 && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if first.Disconnects() != 1 || len(second.Runs()) != 1 || second.Disconnects() != 0 {
+		t.Errorf("%d and %d attempts were ended, the second rank has %d", first.Disconnects(), second.Disconnects(), len(second.Runs()))
+	}
+	<-done
+}
