--- a/state/routing/route.go
+++ b/state/routing/route.go
@@ -27,6 +27,7 @@
 	timeout       time.Duration
 	latencyTarget time.Duration
 	maxEventGap   time.Duration
+	patience      time.Duration
 	priority      int
 	attempts      int
 	public        bool
@@ -46,6 +47,9 @@
 // MaxEventGap sets the longest time between two events of a stream that still counts as on time.
 func MaxEventGap(d time.Duration) RouteOption { return func(r *Route) { r.maxEventGap = d } }
 
+// Patience sets how long callers of a stream wait for the next event, the first one included, before they leave.
+func Patience(d time.Duration) RouteOption { return func(r *Route) { r.patience = d } }
+
 // Priority sets the priority of the route's requests; 0 is the most urgent.
 func Priority(p int) RouteOption { return func(r *Route) { r.priority = p } }
 
@@ -90,6 +94,10 @@
 // such limit.
 func (r Route) MaxEventGap() time.Duration { return r.maxEventGap }
 
+// Patience returns how long callers wait for the next event of a stream, the first one included, before they leave; 0 if they
+// wait as long as for any answer.
+func (r Route) Patience() time.Duration { return r.patience }
+
 // Priority returns the priority of the route's requests; 0 is the most urgent.
 func (r Route) Priority() int { return r.priority }
 
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/kingcupstile/kingcupstile/coordination/budgeter"
 	"github.com/kingcupstile/kingcupstile/coordination/dispatcher"
+	"github.com/kingcupstile/kingcupstile/coordination/estimator"
 	"github.com/kingcupstile/kingcupstile/coordination/overseer"
 	"github.com/kingcupstile/kingcupstile/coordination/pacer"
 	"github.com/kingcupstile/kingcupstile/state/attempt"
@@ -26,8 +27,11 @@
 	// reservation is what the request and its answers take of the memory.
 	reservation *budgeter.Reservation
 	service     string
-	gate        *pacer.Gate
-	arrivedAt   time.Duration
+	// kind is the kind of request for which it is known how long runners take, and promptTime how long one takes to read the prompt.
+	kind       estimator.Kind
+	promptTime time.Duration
+	gate       *pacer.Gate
+	arrivedAt  time.Duration
 	// timeout bounds the whole request, counted from arrivedAt.
 	timeout  time.Duration
 	writer   *writer
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 
 	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/coordination/budgeter"
+	"github.com/kingcupstile/kingcupstile/coordination/estimator"
 	"github.com/kingcupstile/kingcupstile/coordination/overseer"
 	"github.com/kingcupstile/kingcupstile/coordination/pacer"
 	"github.com/kingcupstile/kingcupstile/coordination/placer"
@@ -34,6 +35,8 @@
 	scope      tally.Scope
 	report     func(overseer.Event)
 	trials     *quarantiner.Trials
+	// estimates holds how long runners take.
+	estimates *estimator.Book
 	// unanswered holds the attempts that a runner has not begun to answer, as keys of type *call.
 	unanswered sync.Map
 	// gates holds the *pacer.Gate of each service by its name.
@@ -91,7 +94,7 @@
 func New(snapshot func() overseer.State, clock kingcupstile.Clock, dialect kingcupstile.Dialect, options ...Option) *Forwarder {
 	f := &Forwarder{
 		snapshot: snapshot, clock: clock, dialect: dialect, tracker: placer.NewTracker(), retrier: retrier.New(),
-		report: func(overseer.Event) {}, trials: quarantiner.NewTrials(), retryShare: defaultRetryShare,
+		report: func(overseer.Event) {}, trials: quarantiner.NewTrials(), estimates: estimator.NewBook(), retryShare: defaultRetryShare,
 		log: slog.New(slog.DiscardHandler), scope: tally.NoopScope, budgeter: budgeter.New(defaultMemory),
 	}
 	f.refusing, f.refuseAll = context.WithCancel(context.Background())
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -25,6 +25,8 @@
 	slots   = 4
 	entries = 40
 	target  = 400 * time.Millisecond
+	// patience is how long callers of streams wait for the next event.
+	patience = 2 * time.Second
 )
 
 // world is one of many entries with stand-ins for the runners, and for the processes beside them.
@@ -82,7 +84,7 @@
 
 func (w *world) configure(version uint64, keys ...string) {
 	route := routing.NewRoute("draft", "h.example", "/draft/", routing.RepeatStream, routing.LatencyTarget(target), routing.Attempts(2),
-		routing.MaxEventGap(time.Second), routing.Timeout(5*time.Second), routing.Resumable(true),
+		routing.MaxEventGap(time.Second), routing.Patience(patience), routing.Timeout(5*time.Second), routing.Resumable(true),
 		routing.Shares(routing.Share{Service: "pool", Weight: 1}))
 	look := routing.NewRoute("look", "h.example", "/look/", routing.RepeatSafe, routing.LatencyTarget(target/4), routing.Attempts(2),
 		routing.Timeout(5*time.Second), routing.Shares(routing.Share{Service: "pool", Weight: 1}))
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -54,6 +54,8 @@
 	pending *attempt.Frame
 	// lastFrameDue is whether the next frame is the one that ends the answer.
 	lastFrameDue bool
+	// isWhole is whether the answer is to be given from its beginning.
+	isWhole bool
 	// sentAt is when the attempt began, headAt when the head of a streamed answer was received, and lastEventAt when the last
 	// event with a field was, each 0 if that has not happened.
 	sentAt, headAt, lastEventAt time.Duration
@@ -82,6 +84,7 @@
 
 func newCall(ctx context.Context, x *exchange, r runner.Runner, timeout time.Duration) *call {
 	c := &call{exchange: x, runner: r, timeout: timeout, arrivals: make(chan arrival, 1), sentAt: x.forwarder.clock.Now()}
+	c.isWhole = x.lastEvent == 0 && x.request.LastEvent == ""
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.promptRead, c.done = x.forwarder.tracker.Begin(r.ID(), x.request.PromptTokens)
 	if len(x.parts) > 0 {
@@ -252,6 +255,9 @@
 	header := c.exchange.forwarder.dialect.ResponseHeader(answer.Header)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	if isSuccess(answer.StatusCode) {
+		now := c.exchange.forwarder.clock.Now()
+		c.recordBegin(now)
+		c.recordWhole(now)
 		c.exchange.recordAnswered()
 	}
 	c.lastFrameDue = true
@@ -299,6 +305,7 @@
 	next := c.exchange.dispatch.NextOffset()
 	switch {
 	case fault.KindOf[eventer.Kind](err) == eventer.KindEnd:
+		c.recordWhole(c.exchange.forwarder.clock.Now())
 		c.lastFrameDue = true
 		return c.releaseHead(next, attempt.NewFrame(next, attempt.Last(attempt.OutcomeRan, "")))
 	case err != nil:
@@ -351,6 +358,7 @@
 	c.exchange.forwarder.tracker.RecordAnswer(c.runner.ID(), now)
 	if c.lastEventAt == 0 {
 		c.promptRead()
+		c.recordBegin(now)
 		c.exchange.forwarder.unanswered.Delete(c)
 		c.exchange.recordAnswered()
 	} else {
@@ -362,6 +370,18 @@
 	}
 }
 
+// recordBegin records how long the runner took to begin its answer.
+func (c *call) recordBegin(now time.Duration) {
+	c.exchange.forwarder.estimates.RecordBegin(c.exchange.kind, now-c.sentAt-c.exchange.promptTime)
+}
+
+// recordWhole records how long the runner took for the answer if it gave all of it.
+func (c *call) recordWhole(now time.Duration) {
+	if c.isWhole {
+		c.exchange.forwarder.estimates.RecordWhole(c.exchange.kind, now-c.sentAt)
+	}
+}
+
 // handleFailure records why an attempt gave no whole answer and returns its event: the deadline if the request is over,
 // else a failed connection, which counts against the runner. sent is whether a part of the request was written.
 func (c *call) handleFailure(ctx context.Context, err error, sent bool) dispatcher.Event {
--- a/transport/forwarder/outage.go
+++ b/transport/forwarder/outage.go
@@ -16,10 +16,6 @@
 const (
 	// watchInterval is the time between two rounds of probes while the runners of a service are down.
 	watchInterval = 80 * time.Millisecond
-	// patienceFactor times the route's latency target is how long callers wait for the next event of a stream, of which
-	// answerShare of the target is left to runners that were down to begin an answer.
-	patienceFactor = 4
-	answerShare    = 0.5
 	// maxReturnShare is the part of the time that a caller has left within which it returns after a refusal.
 	maxReturnShare = 0.33
 )
@@ -73,12 +69,6 @@
 	return slices.Collect(maps.Values(f.prober.Probe(context.Background(), addresses, probeWait)))
 }
 
-// patience returns how long the request may still wait for runners that are down.
-func (x *exchange) patience(now time.Duration) time.Duration {
-	wait := time.Duration((patienceFactor - answerShare) * float64(x.access.route.LatencyTarget()))
-	return min(max(x.arrivedAt, x.lastEventAt)+wait-now, x.timeout-(now-x.arrivedAt))
-}
-
 // outageRefusal returns the refusal of a request for which the runners will not be back in time.
 func (x *exchange) outageRefusal(b breaker.Breaker, now time.Duration) *refusal {
 	left := x.timeout - (now - x.arrivedAt)
@@ -89,14 +79,14 @@
 	}
 }
 
-// checkOutage refuses a request at once if the runners are down and are not expected back while it can wait.
+// checkOutage refuses a request at once if the runners are down and are not expected back in time to answer it.
 func (x *exchange) checkOutage() *refusal {
 	s, found := x.forwarder.outage(x.service)
 	if !found {
 		return nil
 	}
 	b, now := s.Breaker(), x.forwarder.clock.Now()
-	if b.IsDown(now) && b.Remaining(now) > x.patience(now) {
+	if b.IsDown(now) && now+b.Remaining(now) > x.latestStart() {
 		return x.outageRefusal(b, now)
 	}
 	return nil
@@ -112,7 +102,7 @@
 	if denied := x.checkOutage(); denied != nil && x.lastEvent == 0 {
 		return denied
 	}
-	if s.Wait(ctx, x.patience(x.forwarder.clock.Now())) {
+	if s.Wait(ctx, x.latestStart()-x.forwarder.clock.Now()) {
 		return nil
 	}
 	return x.outageRefusal(s.Breaker(), x.forwarder.clock.Now())
--- a/transport/forwarder/outage_test.go
+++ b/transport/forwarder/outage_test.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// TestAnswerThatIsNoStreamWaitsForRunners guards against requests that are refused in an outage although their callers wait for
+// as long as they said: only streams are left for the lack of an event.
+func TestAnswerThatIsNoStreamWaitsForRunners(t *testing.T) {
+	w := newWorld(t, 3)
+	w.setGroup(1, 70, false)
+	w.forwarder.RecordLoss("pool", w.Now())
+	answered := make(chan *httptest.ResponseRecorder, 1)
+	go func() { answered <- w.callWith("/look/x", "slip") }()
+	time.Sleep(patience + 200*time.Millisecond)
+	w.setGroup(2, 0, true)
+	if a := <-answered; a.Code != http.StatusOK {
+		t.Errorf("status %d: %s", a.Code, a.Body)
+	}
+}
+
 // TestLostRunnerOfAGroupThatGoesOn tells of a loss while the group goes on making passes, as when a single connection was
 // reset: requests are held up for a moment only.
 func TestLostRunnerOfAGroupThatGoesOn(t *testing.T) {
--- a/transport/forwarder/serve.go
+++ b/transport/forwarder/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kingcupstile/kingcupstile/coordination/budgeter"
+	"github.com/kingcupstile/kingcupstile/coordination/estimator"
 	"github.com/kingcupstile/kingcupstile/coordination/overseer"
 	"github.com/kingcupstile/kingcupstile/state/demand"
 	"github.com/kingcupstile/kingcupstile/state/fault"
@@ -138,7 +139,9 @@
 	x := &exchange{
 		forwarder: f, httpRequest: r, request: d, access: a, body: body, reservation: reservation, service: service,
 		arrivedAt: arrived, timeout: timeout,
-		writer: newWriter(w, r), parts: identifyParts(service, d),
+		kind:       estimator.Kind{Service: service, IsStream: a.route.IsStream()},
+		promptTime: f.promptTime(service, d.PromptTokens),
+		writer:     newWriter(w, r), parts: identifyParts(service, d),
 	}
 	defer x.leaveTrial()
 	if denied := x.checkOutage(); denied != nil {
