--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -104,7 +104,12 @@
 	if x.denied = x.awaitOutage(ctx); x.denied != nil && ctx.Err() == nil {
 		return dispatcher.SendDenied{Reason: x.denied.reason}
 	}
-	chosen, room := x.place(ctx)
+	waiting, stop := ctx, func() {}
+	if x.dispatch.Number() == 1 {
+		waiting, stop = f.untilRefusing(ctx)
+	}
+	chosen, room := x.place(waiting)
+	stop()
 	state, now := f.snapshot(), f.clock.Now()
 	if x.denied = x.denial(state, now); x.denied != nil {
 		return dispatcher.SendDenied{Reason: x.denied.reason}
--- a/transport/forwarder/place.go
+++ b/transport/forwarder/place.go
@@ -15,8 +15,8 @@
 	// probeWait is how long the replies to load probes are awaited: a round trip between data centres and a turn of the
 	// processor on the runner's VM.
 	probeWait = 8 * time.Millisecond
-	// probeInterval is the time between two rounds of probes for a request that found no room.
-	probeInterval = 15 * time.Millisecond
+	// minProbeInterval is the shortest time between two rounds of probes for a request that found no room.
+	minProbeInterval = 15 * time.Millisecond
 	// offsetSteps is the resolution of the offset by which runners round the allowed requests differently.
 	offsetSteps = 1024
 )
@@ -32,8 +32,8 @@
 	roomNone room = "none"
 )
 
-// place chooses the runner for the next attempt. The first attempt of a request waits a while for room where the load of
-// runners is probed; later ones go to the least loaded runner, as what was begun is finished first.
+// place chooses the runner for the next attempt. Where the load of runners is probed, the first attempt of a request waits for room
+// for as long as it can still be served; later ones go to the least loaded runner, as what was begun is finished first.
 func (x *exchange) place(ctx context.Context) (runner.Runner, room) {
 	for {
 		chosen, found := x.choose(ctx)
@@ -46,7 +46,7 @@
 // choose does as place, but for runners that want no requests it only avoids those of which this is certain.
 func (x *exchange) choose(ctx context.Context) (runner.Runner, room) {
 	f := x.forwarder
-	until := x.arrivedAt + x.access.route.LatencyTarget()/waitDivisor
+	until := x.latestStart()
 	var tried []string
 	for {
 		state, now := f.snapshot(), f.clock.Now()
@@ -80,8 +80,12 @@
 		case hasRoom || x.dispatch.Number() > 1:
 			f.prober.Announce(best.Address())
 			return best, roomFound
-		case f.clock.Now()+probeInterval >= until || !pauser.Wait(ctx, probeInterval):
-			return best, roomFull
+		default:
+			// Room comes up as a pass ends, which is when events come.
+			interval := max(minProbeInterval, x.gate.Pace().MeanGap())
+			if f.clock.Now()+interval >= until || !pauser.Wait(ctx, interval) {
+				return best, roomFull
+			}
 		}
 	}
 }
--- a/transport/forwarder/screen.go
+++ b/transport/forwarder/screen.go
@@ -18,13 +18,8 @@
 // maxSightings bounds the parts of one request that are reported when a runner is lost.
 const maxSightings = 64
 
-const (
-	// informDivisor is the divisor of a route's latency target that gives how long a request waits for this entry, after a start
-	// or a pause, to learn what others found out.
-	informDivisor = 2
-	// informInterval is the time between two checks whether it has.
-	informInterval = 10 * time.Millisecond
-)
+// informInterval is the time between two checks whether this entry, after a start or a pause, has learned what others found out.
+const informInterval = 10 * time.Millisecond
 
 // identifyParts returns the shared parts of a request's prompt.
 func identifyParts(service string, d demand.Request) []suspect.Part {
@@ -66,13 +61,15 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: reasonPart, retryAfter: quarantiner.RetryAfter(held, now)}
 }
 
-// awaitScreened does as screen, but waits a little for an entry that was paused to know again what others found out.
+// awaitScreened does as screen, but waits for an entry that was paused to know again what others found out, for as long as the
+// request can still be served.
 func (x *exchange) awaitScreened(ctx context.Context) *refusal {
 	f := x.forwarder
-	until := x.arrivedAt + x.access.route.LatencyTarget()/informDivisor
+	waiting, stop := f.untilRefusing(ctx)
+	defer stop()
 	for {
 		denied := x.screen(f.snapshot(), f.clock.Now())
-		if denied == nil || denied.reason != reasonUninformed || f.clock.Now() >= until || !pauser.Wait(ctx, informInterval) {
+		if denied == nil || denied.reason != reasonUninformed || f.clock.Now() >= x.latestStart() || !pauser.Wait(waiting, informInterval) {
 			return denied
 		}
 	}
--- a/transport/forwarder/serve.go
+++ b/transport/forwarder/serve.go
@@ -21,9 +21,6 @@
 	defaultTimeout = time.Minute
 	// defaultMaxBody is the largest body in bytes where the configuration sets no limit.
 	defaultMaxBody = 16 << 20
-	// waitDivisor is the divisor of a route's latency target that gives how long a request may wait for admission
-	// before it is refused: a refusal within an eighth of the target counts as early.
-	waitDivisor = 8
 	// shortRetryAfter is the retry delay for what passes quickly, such as a full service with short requests.
 	shortRetryAfter = 200 * time.Millisecond
 	// longRetryAfter is the retry delay for what takes longer, such as an unreachable store.
@@ -153,22 +150,38 @@
 		f.logAndRefuse(w, d, *denied)
 		return
 	}
-	gate := f.gate(service, f.snapshot(), f.clock.Now(), a.route.MaxEventGap())
-	leave, entered := gate.Acquire(ctx, a.priority, a.route.LatencyTarget()/waitDivisor)
-	if !entered {
-		pace, pressure := gate.Pace(), gate.RecordRequest(true, f.clock.Now())
-		f.logAndRefuse(w, d, refusal{
-			status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: x.retryAfter(pressure.RetryAfter(rand.Float64())),
-			logArgs: []any{"service", service, "open", pace.Open(), "limit", pace.Limit(), "pause", pace.MeanGap(), "waiting", gate.Waiting()},
-		})
+	leave, denied := x.enter(ctx)
+	if denied != nil {
+		f.logAndRefuse(w, d, *denied)
 		return
 	}
 	defer leave()
 	f.retrier.RecordRequest(service, f.retryShare)
-	x.gate = gate
 	x.run(ctx)
 }
 
+// enter waits until the gate of the service admits the request, for as long as it can still be served, or returns why it is refused;
+// leave must be called when the request is over.
+func (x *exchange) enter(ctx context.Context) (leave func(), denied *refusal) {
+	f, now := x.forwarder, x.forwarder.clock.Now()
+	x.gate = f.gate(x.service, f.snapshot(), now, x.access.route.MaxEventGap())
+	waiting, stop := f.untilRefusing(ctx)
+	defer stop()
+	leave, entered := x.gate.Acquire(waiting, x.access.priority, x.latestStart()-now)
+	if entered {
+		return leave, nil
+	}
+	now = f.clock.Now()
+	if denied := f.leavingRefusal(x.access.route, now, x.timeout-(now-x.arrivedAt)); denied != nil {
+		return nil, denied
+	}
+	pace, pressure := x.gate.Pace(), x.gate.RecordRequest(true, now)
+	return nil, &refusal{
+		status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: x.retryAfter(pressure.RetryAfter(rand.Float64())),
+		logArgs: []any{"service", x.service, "open", pace.Open(), "limit", pace.Limit(), "pause", pace.MeanGap(), "waiting", x.gate.Waiting()},
+	}
+}
+
 // timeoutFor returns how long a request may take: as its route and its caller say, whichever is shorter.
 func timeoutFor(a access, d demand.Request) time.Duration {
 	timeout := a.route.Timeout()
--- a/transport/forwarder/wait.go
+++ b/transport/forwarder/wait.go
@@ -1,6 +1,12 @@
 package forwarder
 
-import "time"
+import (
+	"context"
+	"time"
+)
+
+// minWork is how long a request and its answer take at least: the way to a runner and back, and to the caller.
+const minWork = 10 * time.Millisecond
 
 // promptTime returns how long a runner of a service takes at least to read a prompt.
 func (f *Forwarder) promptTime(service string, tokens int) time.Duration {
@@ -16,7 +22,7 @@
 // the request's time, and those of streams when they got no event for long.
 func (x *exchange) latestStart() time.Duration {
 	work := x.forwarder.estimates.Work(x.kind)
-	begin := work.Begin.Most() + x.promptTime
+	begin := max(minWork, work.Begin.Most()+x.promptTime)
 	whole := begin
 	if x.lastEvent == 0 {
 		whole = max(begin, work.Whole.Mean())
@@ -27,3 +33,13 @@
 	}
 	return latest
 }
+
+// untilRefusing returns a context that ends with ctx, and when the process is about to end and refuses what it has not sent.
+func (f *Forwarder) untilRefusing(ctx context.Context) (waiting context.Context, stop func()) {
+	waiting, cancel := context.WithCancel(ctx)
+	remove := context.AfterFunc(f.refusing, cancel)
+	return waiting, func() {
+		remove()
+		cancel()
+	}
+}
