--- a/coordination/pacer/gate.go
+++ b/coordination/pacer/gate.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// Gate admits the requests of one service up to the limit of its Pace, by priority and then in order of arrival. It is
-// shared by the goroutines that serve traffic, and is not part of the control state.
+// Gate admits the requests of one service up to the limit of its Pace: by priority, and then those first that must start first. It
+// is shared by the goroutines that serve traffic, and is not part of the control state.
 type Gate struct {
 	mu       sync.Mutex
 	pace     Pace
@@ -19,11 +19,26 @@
 	lastEvent time.Duration
 }
 
+// Request asks for admission.
+type Request struct {
+	// Priority is the priority, 0 for the most urgent.
+	Priority int
+	// At is the time of the request, and LatestStart when it must be admitted at the latest for its caller to be served.
+	At, LatestStart time.Duration
+	// Duration is how long a request of the service usually is open, 0 if that is not known.
+	Duration time.Duration
+}
+
+// precedes reports whether a request is admitted before another one that came earlier.
+func (r Request) precedes(other Request) bool {
+	return r.Priority < other.Priority || r.Priority == other.Priority && r.LatestStart < other.LatestStart
+}
+
 // waiter is a queued request.
 type waiter struct {
-	priority int
-	// admitted is closed when the request is admitted.
-	admitted chan struct{}
+	Request
+	// admitted is closed when the request is admitted, and refused when it cannot be admitted in time any more.
+	admitted, refused chan struct{}
 }
 
 // NewGate returns a gate with an empty queue that starts with the given pace.
@@ -104,39 +119,57 @@
 	}
 }
 
-// Acquire waits until the request is admitted, for at most the given time or until ctx ends, and reports whether it
-// was. If it was, release must be called when the request is over; further calls of it have no effect. Lower priority
-// numbers are admitted first.
-func (g *Gate) Acquire(ctx context.Context, priority int, wait time.Duration) (release func(), admitted bool) {
+// Acquire waits until the request is admitted, until its latest start at most or until ctx ends, and reports whether it was. It does
+// not wait if the request would not be admitted in time, and no longer once that is so. If it was admitted, release must be called
+// when the request is over; further calls of it have no effect.
+func (g *Gate) Acquire(ctx context.Context, r Request) (release func(), admitted bool) {
 	g.mu.Lock()
 	if len(g.queue) == 0 && g.pace.HasRoom() {
 		g.pace = g.pace.WithOpened()
 		g.mu.Unlock()
 		return g.release(), true
 	}
+	wait := r.LatestStart - r.At
 	if wait <= 0 {
 		g.mu.Unlock()
 		return nil, false
 	}
-	w := &waiter{priority: priority, admitted: make(chan struct{})}
-	at := len(g.queue)
-	for at > 0 && g.queue[at-1].priority > priority {
-		at--
-	}
-	g.queue = slices.Insert(g.queue, at, w)
+	w := &waiter{Request: r, admitted: make(chan struct{}), refused: make(chan struct{})}
+	g.enqueue(w)
 	g.mu.Unlock()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-w.admitted:
 		return g.release(), true
+	case <-w.refused:
+		return nil, false
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	return g.withdraw(w)
 }
 
-// withdraw removes a waiter from the queue, unless it was admitted in the meantime.
+// enqueue adds a waiter to the queue, and refuses those that will not be admitted in time, which may be the waiter itself.
+func (g *Gate) enqueue(w *waiter) {
+	at := len(g.queue)
+	for at > 0 && w.precedes(g.queue[at-1].Request) {
+		at--
+	}
+	g.queue = slices.Insert(g.queue, at, w)
+	kept := g.queue[:0]
+	for _, q := range g.queue {
+		if w.At+g.pace.WaitFor(len(kept), q.Duration) > q.LatestStart {
+			close(q.refused)
+			continue
+		}
+		kept = append(kept, q)
+	}
+	clear(g.queue[len(kept):])
+	g.queue = kept
+}
+
+// withdraw removes a waiter from the queue, unless it was admitted or refused in the meantime.
 func (g *Gate) withdraw(w *waiter) (func(), bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -144,7 +177,12 @@
 		g.queue = slices.Delete(g.queue, i, i+1)
 		return nil, false
 	}
-	return g.release(), true
+	select {
+	case <-w.admitted:
+		return g.release(), true
+	default:
+		return nil, false
+	}
 }
 
 // release returns the function that ends an admitted request.
--- a/coordination/pacer/pace.go
+++ b/coordination/pacer/pace.go
@@ -1,6 +1,9 @@
 package pacer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// targetShare is the share of the maximum gap at which the mean gap is held; the rest is for passes that also read
@@ -62,6 +65,16 @@
 // HasRoom reports whether one more request may be opened.
 func (p Pace) HasRoom() bool { return float64(p.open+1) <= max(1, p.limit) }
 
+// WaitFor returns how long a request with a number of others ahead of it is expected to wait until it may be opened, if requests
+// stay open for some duration: of those that are open, one closes in every part of the duration.
+func (p Pace) WaitFor(ahead int, duration time.Duration) time.Duration {
+	closings := float64(p.open+ahead+1) - max(1, p.limit)
+	if closings <= 0 || p.open == 0 {
+		return 0
+	}
+	return time.Duration(math.Ceil(closings) / float64(p.open) * float64(duration))
+}
+
 // WithOpened returns the pace with one more open request.
 func (p Pace) WithOpened() Pace {
 	p.open++
--- a/coordination/pacer/pacer_test.go
+++ b/coordination/pacer/pacer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,40 +58,129 @@
 	}
 }
 
-func TestGateAdmitsByPriority(t *testing.T) {
-	g := pacer.NewGate(pacer.New(pacer.Bounds{Floor: 1, Ceiling: 1}))
-	release, ok := g.Acquire(t.Context(), 1, 0)
-	if !ok {
-		t.Fatal("no room")
+// second is a time on the gate's clock.
+const second = time.Second
+
+// asks returns a request of some priority that may wait for a time.
+func asks(priority int, wait time.Duration) pacer.Request {
+	return pacer.Request{Priority: priority, At: second, LatestStart: second + wait}
+}
+
+// newFullGate returns a gate with all of its requests open, and the functions that end them.
+func newFullGate(t *testing.T, limit int) (*pacer.Gate, []func()) {
+	t.Helper()
+	g := pacer.NewGate(pacer.New(pacer.Bounds{Floor: float64(limit), Ceiling: float64(limit)}))
+	releases := make([]func(), 0, limit)
+	for range limit {
+		release, ok := g.Acquire(t.Context(), asks(1, 0))
+		if !ok {
+			t.Fatal("no room")
+		}
+		releases = append(releases, release)
 	}
-	order := make(chan int, 2)
-	for i, priority := range []int{3, 1} {
-		go func() {
-			done, ok := g.Acquire(t.Context(), priority, 5*time.Second)
-			if ok {
-				order <- priority
-				done()
+	return g, releases
+}
+
+// TestGateOrder has requests come one after the other while nothing is admitted: they are admitted by priority, and those of one
+// priority in the order in which their callers run out of time, whenever they came.
+func TestGateOrder(t *testing.T) {
+	for name, test := range map[string]struct {
+		requests []pacer.Request
+		want     []int
+	}{
+		"by priority":       {[]pacer.Request{asks(3, 5*second), asks(1, 5*second)}, []int{1, 0}},
+		"by the time left":  {[]pacer.Request{asks(1, 9*second), asks(1, 5*second), asks(1, 7*second)}, []int{1, 2, 0}},
+		"by arrival":        {[]pacer.Request{asks(1, 5*second), asks(1, 5*second)}, []int{0, 1}},
+		"priority is first": {[]pacer.Request{asks(2, 5*second), asks(1, 9*second)}, []int{1, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, releases := newFullGate(t, 1)
+			order := make(chan int, len(test.requests))
+			for i, r := range test.requests {
+				go func() {
+					done, ok := g.Acquire(t.Context(), r)
+					if ok {
+						order <- i
+						done()
+					}
+				}()
+				for g.Waiting() != i+1 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			releases[0]()
+			got := make([]int, 0, len(test.requests))
+			for range test.requests {
+				got = append(got, <-order)
 			}
+			if !slices.Equal(got, test.want) {
+				t.Errorf("admitted in the order %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestGateRefusesAtOnceWhatIsNotServedInTime guards against requests that wait until their callers have no time left although it is
+// known that too many are ahead of them.
+func TestGateRefusesAtOnceWhatIsNotServedInTime(t *testing.T) {
+	const usual = 400 * time.Millisecond
+	ask := func(priority int, wait time.Duration) pacer.Request {
+		r := asks(priority, wait)
+		r.Duration = usual
+		return r
+	}
+	g, releases := newFullGate(t, 4)
+	// One of four requests ends every 100 ms.
+	begin := func(r pacer.Request) <-chan bool {
+		result := make(chan bool, 1)
+		go func() {
+			_, ok := g.Acquire(t.Context(), r)
+			result <- ok
 		}()
-		for g.Waiting() != i+1 {
+		return result
+	}
+	queue := func(r pacer.Request) <-chan bool {
+		before := g.Waiting()
+		result := begin(r)
+		for g.Waiting() == before {
 			time.Sleep(time.Millisecond)
 		}
+		return result
 	}
-	release()
-	if first, second := <-order, <-order; first != 1 || second != 3 {
-		t.Errorf("%d before %d", first, second)
+	early, later := queue(ask(2, 190*time.Millisecond)), queue(ask(2, 290*time.Millisecond))
+	start := time.Now()
+	if _, ok := g.Acquire(t.Context(), ask(2, 295*time.Millisecond)); ok || time.Since(start) > 50*time.Millisecond {
+		t.Errorf("admitted %t after %v, behind two", ok, time.Since(start))
+	}
+	latest := queue(ask(2, 390*time.Millisecond))
+	// One that goes before them all leaves too little time for the first, in whose place the others stay.
+	urgent := begin(ask(1, second))
+	select {
+	case ok := <-early:
+		if ok {
+			t.Error("the first was admitted")
+		}
+	case <-time.After(50 * time.Millisecond):
+		t.Error("the first still waits")
+	}
+	if len(later) > 0 || len(latest) > 0 {
+		t.Error("requests that can still be served were refused")
+	}
+	releases[0]()
+	if !<-urgent {
+		t.Error("the urgent one was not admitted")
 	}
 }
 
 func TestGateStopsWaiting(t *testing.T) {
-	g := pacer.NewGate(pacer.New(pacer.Bounds{Floor: 1, Ceiling: 1}))
-	release, _ := g.Acquire(t.Context(), 1, 0)
-	if _, ok := g.Acquire(t.Context(), 1, 10*time.Millisecond); ok {
+	g, releases := newFullGate(t, 1)
+	release := releases[0]
+	if _, ok := g.Acquire(t.Context(), asks(1, 10*time.Millisecond)); ok {
 		t.Error("admitted beyond the limit")
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if _, ok := g.Acquire(ctx, 1, time.Minute); ok || g.Waiting() != 0 {
+	if _, ok := g.Acquire(ctx, asks(1, time.Minute)); ok || g.Waiting() != 0 {
 		t.Error("a request whose caller left is still queued")
 	}
 	release()
--- a/transport/forwarder/serve.go
+++ b/transport/forwarder/serve.go
@@ -11,6 +11,7 @@
 	"github.com/kingcupstile/kingcupstile/coordination/budgeter"
 	"github.com/kingcupstile/kingcupstile/coordination/estimator"
 	"github.com/kingcupstile/kingcupstile/coordination/overseer"
+	"github.com/kingcupstile/kingcupstile/coordination/pacer"
 	"github.com/kingcupstile/kingcupstile/state/demand"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 	"github.com/kingcupstile/kingcupstile/state/routing"
@@ -167,7 +168,9 @@
 	x.gate = f.gate(x.service, f.snapshot(), now, x.access.route.MaxEventGap())
 	waiting, stop := f.untilRefusing(ctx)
 	defer stop()
-	leave, entered := x.gate.Acquire(waiting, x.access.priority, x.latestStart()-now)
+	leave, entered := x.gate.Acquire(waiting, pacer.Request{
+		Priority: x.access.priority, At: now, LatestStart: x.latestStart(), Duration: f.estimates.Work(x.kind).Whole.Mean(),
+	})
 	if entered {
 		return leave, nil
 	}
--- a/transport/gateway/objective_test.go
+++ b/transport/gateway/objective_test.go
@@ -19,7 +19,7 @@
 			d := newDeploymentWith(t, 2*time.Second, goal)
 			d.failAll("pool", site.FaultNoAnswer)
 			for range fillers {
-				go d.call(http.MethodPost, "/draft/once/x", "", map[string]string{"X-Deadline-Ms": "1500"})
+				go func() { d.call(http.MethodPost, "/draft/once/x", "", map[string]string{"X-Deadline-Ms": "1500"}) }()
 			}
 			time.Sleep(100 * time.Millisecond)
 			for _, deadline := range []time.Duration{200 * time.Millisecond, 700 * time.Millisecond} {
