--- a/coordination/pacer/gate.go
+++ b/coordination/pacer/gate.go
@@ -14,6 +14,7 @@
 	pace     Pace
 	level    Level
 	pressure Pressure
+	vacancy  Vacancy
 	queue    []*waiter
 	// lastEvent is when the last event of any stream was received, 0 if there was none.
 	lastEvent time.Duration
@@ -75,6 +76,20 @@
 	g.level = g.level.WithLoad(share)
 }
 
+// RecordSearch records that a request waited for room at runners whose load is asked for, and found it or did not.
+func (g *Gate) RecordSearch(waited time.Duration, found bool, now time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.vacancy = g.vacancy.WithSearch(waited, found, now)
+}
+
+// Vacancy returns how soon requests find room at such runners.
+func (g *Gate) Vacancy() Vacancy {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.vacancy
+}
+
 // RecordRequest records that a request was refused for lack of room, or was not, and returns the pressure.
 func (g *Gate) RecordRequest(refused bool, now time.Duration) Pressure {
 	g.mu.Lock()
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -246,6 +246,26 @@
 	}
 }
 
+// TestWaitInVainIsNotRepeated keeps all runners full: after some requests have waited in vain, others are refused at once, and one is
+// served at once as room comes up.
+func TestWaitInVainIsNotRepeated(t *testing.T) {
+	w := newWorld(t, 5)
+	w.setOpen(slots)
+	var first sync.WaitGroup
+	for range 4 {
+		first.Go(func() { w.callWithin("/draft/x", "slip", 600*time.Millisecond) })
+	}
+	first.Wait()
+	start := time.Now()
+	if a := w.callWithin("/draft/x", "slip", 600*time.Millisecond); a.Code != http.StatusServiceUnavailable || time.Since(start) > 100*time.Millisecond {
+		t.Errorf("status %d after %v", a.Code, time.Since(start))
+	}
+	w.setOpen(slots - 1)
+	if a := w.callWithin("/draft/x", "slip", 600*time.Millisecond); a.Code != http.StatusOK {
+		t.Errorf("status %d although room came up", a.Code)
+	}
+}
+
 // TestUnansweredProbesRefuseNobody has no process beside the runners answer.
 func TestUnansweredProbesRefuseNobody(t *testing.T) {
 	w := newWorld(t, 3)
--- a/transport/forwarder/place.go
+++ b/transport/forwarder/place.go
@@ -46,7 +46,7 @@
 // choose does as place, but for runners that want no requests it only avoids those of which this is certain.
 func (x *exchange) choose(ctx context.Context) (runner.Runner, room) {
 	f := x.forwarder
-	until := x.latestStart()
+	since, until := f.clock.Now(), x.latestStart()
 	var tried []string
 	for {
 		state, now := f.snapshot(), f.clock.Now()
@@ -78,12 +78,14 @@
 				return best, roomNone
 			}
 		case hasRoom || x.dispatch.Number() > 1:
+			x.gate.RecordSearch(now-since, true, now)
 			f.prober.Announce(best.Address())
 			return best, roomFound
 		default:
 			// Room comes up as a pass ends, which is when events come.
 			interval := max(minProbeInterval, x.gate.Pace().MeanGap())
-			if f.clock.Now()+interval >= until || !pauser.Wait(ctx, interval) {
+			if now+max(interval, x.gate.Vacancy().Wait(now)) >= until || !pauser.Wait(ctx, interval) {
+				x.gate.RecordSearch(now-since, false, now)
 				return best, roomFull
 			}
 		}
