--- a/coordination/pacer/gate.go
+++ b/coordination/pacer/gate.go
@@ -10,12 +10,11 @@
 // Gate admits the requests of one service up to the limit of its Pace: by priority, and then those first that must start first. It
 // is shared by the goroutines that serve traffic, and is not part of the control state.
 type Gate struct {
-	mu       sync.Mutex
-	pace     Pace
-	level    Level
-	pressure Pressure
-	vacancy  Vacancy
-	queue    []*waiter
+	mu      sync.Mutex
+	pace    Pace
+	level   Level
+	vacancy Vacancy
+	queue   []*waiter
 	// lastEvent is when the last event of any stream was received, 0 if there was none.
 	lastEvent time.Duration
 }
@@ -90,14 +89,6 @@
 	return g.vacancy
 }
 
-// RecordRequest records that a request was refused for lack of room, or was not, and returns the pressure.
-func (g *Gate) RecordRequest(refused bool, now time.Duration) Pressure {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.pressure = g.pressure.WithRequest(refused, now)
-	return g.pressure
-}
-
 // RecordGap records the gap between two events of a stream and admits the queued requests that the adapted limit
 // allows.
 func (g *Gate) RecordGap(d, now time.Duration) {
--- a/feed.go
+++ b/feed.go
@@ -42,4 +42,6 @@
 	ParseReply(status int, header http.Header) demand.Reply
 	// ResponseHeader returns the header to send to the caller: a runner's without its hop-by-hop headers.
 	ResponseHeader(header http.Header) http.Header
+	// LatestReturn returns after which part of the time that a caller has left it returns at the latest, whatever it was told.
+	LatestReturn(left time.Duration) time.Duration
 }
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -127,15 +126,11 @@
 	case room == roomNone:
 		return dispatcher.NoEndpointLeft{}
 	case room == roomFull:
-		pressure := x.gate.RecordRequest(true, now)
-		retryAfter := x.retryAfter(pressure.RetryAfter(rand.Float64()))
-		if x.restEnd > now {
-			retryAfter = max(retryAfter, time.Duration(float64(x.restEnd-now)*(1+rand.Float64()/4)))
+		x.denied = &refusal{
+			status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: x.returnAfter(max(x.roomIn(), x.restEnd-now)),
 		}
-		x.denied = &refusal{status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: retryAfter}
 		return dispatcher.SendDenied{Reason: reasonFull}
 	}
-	x.gate.RecordRequest(false, now)
 	if x.dispatch.Number() > 1 {
 		if !f.retrier.Allow(x.service, reason) {
 			return dispatcher.SendDenied{Reason: reason}
@@ -220,7 +215,7 @@
 	case x.denied != nil && action.Outcome == attempt.OutcomeNotRun:
 		r = *x.denied
 	case action.Outcome == attempt.OutcomeNotRun:
-		r.status, r.retryAfter = http.StatusServiceUnavailable, x.retryAfter(jitteredRetryAfter())
+		r.status, r.retryAfter = http.StatusServiceUnavailable, x.returnAfter(0)
 	case action.Reason == dispatcher.ReasonTimeout:
 		r.status = http.StatusGatewayTimeout
 	}
@@ -235,7 +230,7 @@
 		x.writer.abort()
 		return
 	}
-	x.forwarder.refuse(x.writer.out, r)
+	x.forwarder.refuse(x.writer.out, r, x.left())
 }
 
 // count reports the metrics of a request that ended with an outcome.
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -124,7 +124,7 @@
 	if f.refusing.Err() == nil && (end == 0 || r.IsRepeatable() || now+timeout <= end) {
 		return nil
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: reasonLeaving, retryAfter: shortRetryAfter}
+	return newBriefRefusal(reasonLeaving, minRetryAfter)
 }
 
 // gate returns a service's admission gate, after adjusting its bounds to the ready runners and the number of live
@@ -152,15 +152,25 @@
 	reason string
 	// retryAfter is the value of the Retry-After header; at 0 the header is left out, as a retry would not help.
 	retryAfter time.Duration
+	// isBrief is whether the reason may pass at any moment, so that the caller is to return while it has time.
+	isBrief bool
 	// logArgs are further keys and values for the log line.
 	logArgs []any
 }
 
-// refuse writes a refusal to the caller and counts it.
-func (f *Forwarder) refuse(w http.ResponseWriter, r refusal) {
+// newBriefRefusal returns the refusal of a request that may be served at any moment.
+func newBriefRefusal(reason string, retryAfter time.Duration) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, isBrief: true}
+}
+
+// refuse writes a refusal to a caller that has some time left, 0 if that is not known, and counts it.
+func (f *Forwarder) refuse(w http.ResponseWriter, r refusal, left time.Duration) {
 	h := w.Header()
+	if r.isBrief && left > 0 {
+		r.retryAfter = min(r.retryAfter, f.dialect.LatestReturn(left))
+	}
 	if r.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Truncate(time.Millisecond).Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(r.reason)+1))
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -351,6 +351,29 @@
 	}
 }
 
+// TestReturnFollowsFromTheWork keeps all runners full: who is refused is told to return after what others waited for room, and within a
+// third of its time.
+func TestReturnFollowsFromTheWork(t *testing.T) {
+	w := newWorld(t, 5)
+	w.setOpen(slots)
+	var waiting sync.WaitGroup
+	for range 4 {
+		waiting.Go(func() { w.callWithin("/look/x", "slip", 600*time.Millisecond) })
+	}
+	waiting.Wait()
+	for _, test := range []struct{ deadline, least, most time.Duration }{
+		{300 * time.Millisecond, 80 * time.Millisecond, 100 * time.Millisecond},
+		{1500 * time.Millisecond, 400 * time.Millisecond, 500 * time.Millisecond},
+	} {
+		a := w.callWithin("/look/x", "slip", test.deadline)
+		after, err := strconv.ParseFloat(a.Header().Get("Retry-After"), 64)
+		got := time.Duration(after * float64(time.Second))
+		if a.Code != http.StatusServiceUnavailable || err != nil || got < test.least || got > test.most {
+			t.Errorf("with %v left: status %d, headers %v", test.deadline, a.Code, a.Header())
+		}
+	}
+}
+
 // TestWhatChangesDuringAProbe covers a process that is paused while it probes, a key that is taken away meanwhile, and
 // runners that begin to drain: the request must not be sent by what held before.
 func TestWhatChangesDuringAProbe(t *testing.T) {
--- a/transport/forwarder/outage.go
+++ b/transport/forwarder/outage.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -16,8 +15,6 @@
 const (
 	// watchInterval is the time between two rounds of probes while the runners of a service are down.
 	watchInterval = 80 * time.Millisecond
-	// maxReturnShare is the part of the time that a caller has left within which it returns after a refusal.
-	maxReturnShare = 0.33
 )
 
 // outage returns the breaker of a service whose runners are ranks of groups, and false for any other service.
@@ -70,24 +67,26 @@
 }
 
 // outageRefusal returns the refusal of a request for which the runners will not be back in time.
-func (x *exchange) outageRefusal(b breaker.Breaker, now time.Duration) *refusal {
-	left := x.timeout - (now - x.arrivedAt)
-	remaining := float64(b.Remaining(now)) * (1 + rand.Float64()/4)
-	return &refusal{
-		status: http.StatusServiceUnavailable, reason: reasonDown,
-		retryAfter: max(shortRetryAfter, time.Duration(min(remaining, maxReturnShare*float64(left)))),
-	}
+func (x *exchange) outageRefusal() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: reasonDown, retryAfter: x.returnAfter(0)}
 }
 
-// checkOutage refuses a request at once if the runners are down and are not expected back in time to answer it.
-func (x *exchange) checkOutage() *refusal {
+// outageLeft returns how long the runners are expected to be down, 0 if they are not.
+func (x *exchange) outageLeft() time.Duration {
 	s, found := x.forwarder.outage(x.service)
 	if !found {
-		return nil
+		return 0
 	}
-	b, now := s.Breaker(), x.forwarder.clock.Now()
-	if b.IsDown(now) && now+b.Remaining(now) > x.latestStart() {
-		return x.outageRefusal(b, now)
+	if b, now := s.Breaker(), x.forwarder.clock.Now(); b.IsDown(now) {
+		return b.Remaining(now)
+	}
+	return 0
+}
+
+// checkOutage refuses a request at once if the runners are down and are not expected back in time to answer it.
+func (x *exchange) checkOutage() *refusal {
+	if left := x.outageLeft(); left > 0 && x.forwarder.clock.Now()+left > x.latestStart() {
+		return x.outageRefusal()
 	}
 	return nil
 }
@@ -105,20 +104,7 @@
 	if s.Wait(ctx, x.latestStart()-x.forwarder.clock.Now()) {
 		return nil
 	}
-	return x.outageRefusal(s.Breaker(), x.forwarder.clock.Now())
-}
-
-// retryAfter returns the retry delay for a request that finds no room, or the time that the runners are expected to be down
-// if that is longer.
-func (x *exchange) retryAfter(delay time.Duration) time.Duration {
-	s, found := x.forwarder.outage(x.service)
-	if !found {
-		return delay
-	}
-	if b, now := s.Breaker(), x.forwarder.clock.Now(); b.IsDown(now) {
-		return max(delay, x.outageRefusal(b, now).retryAfter)
-	}
-	return delay
+	return x.outageRefusal()
 }
 
 // isDown reports whether the runners of the request's service are down or may be.
--- a/transport/forwarder/outage_test.go
+++ b/transport/forwarder/outage_test.go
@@ -39,6 +39,38 @@
 	}
 }
 
+// TestReturnFollowsFromTheTimeLeft has runners down for some seconds: a caller is told to return when they are back, or within a third of
+// the time that it has, as it returns then in any case; one whose work cannot be done in its time is told a time after that.
+func TestReturnFollowsFromTheTimeLeft(t *testing.T) {
+	const usual = 250 * time.Millisecond
+	for name, test := range map[string]struct {
+		path                  string
+		deadline, least, most time.Duration
+	}{
+		"much time":               {"/draft/x", 5 * time.Second, time.Second, 5 * time.Second / 3},
+		"some time":               {"/look/x", 900 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond},
+		"too little for its work": {"/look/x", 240 * time.Millisecond, 240 * time.Millisecond, time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 3)
+			for _, r := range w.runners {
+				r.PauseOnBody("usual", usual)
+			}
+			w.callWith("/look/x", "usual")
+			w.setGroup(1, 70, false)
+			w.forwarder.RecordLoss("pool", w.Now())
+			time.Sleep(400 * time.Millisecond)
+			a := w.callWithin(test.path, "slip", test.deadline)
+			after, err := strconv.ParseFloat(a.Header().Get("Retry-After"), 64)
+			got := time.Duration(after * float64(time.Second))
+			if a.Code != http.StatusServiceUnavailable || err != nil || got < test.least || got > test.most {
+				t.Errorf("status %d, headers %v", a.Code, a.Header())
+			}
+		})
+	}
+}
+
 // TestRequestWaitsForRunnersThatAreBackSoon forms the group anew while a request waits.
 func TestRequestWaitsForRunnersThatAreBackSoon(t *testing.T) {
 	w := newWorld(t, 3)
--- a/transport/forwarder/screen.go
+++ b/transport/forwarder/screen.go
@@ -42,7 +42,7 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: reasonPart, retryAfter: longRetryAfter}
 	}
 	if !state.IsInformed(now) && !f.trials.HasAnswered(x.parts) {
-		return &refusal{status: http.StatusServiceUnavailable, reason: reasonUninformed, retryAfter: longRetryAfter}
+		return newBriefRefusal(reasonUninformed, longRetryAfter)
 	}
 	held := state.Held(x.parts)
 	if len(held) == 0 {
--- a/transport/forwarder/serve.go
+++ b/transport/forwarder/serve.go
@@ -22,8 +22,6 @@
 	defaultTimeout = time.Minute
 	// defaultMaxBody is the largest body in bytes where the configuration sets no limit.
 	defaultMaxBody = 16 << 20
-	// shortRetryAfter is the retry delay for what passes quickly, such as a full service with short requests.
-	shortRetryAfter = 200 * time.Millisecond
 	// longRetryAfter is the retry delay for what takes longer, such as an unreachable store.
 	longRetryAfter = 500 * time.Millisecond
 )
@@ -64,12 +62,12 @@
 func authorize(s overseer.State, d demand.Request, now time.Duration) (access, *refusal) {
 	table, known := s.Table()
 	if !known {
-		return access{}, &refusal{status: http.StatusServiceUnavailable, reason: reasonNoConfig, retryAfter: longRetryAfter}
+		return access{}, newBriefRefusal(reasonNoConfig, longRetryAfter)
 	}
 	fresh := s.IsFresh(now)
 	route, found := table.Match(d.Host, d.Path)
 	if !found && !fresh {
-		return access{}, &refusal{status: http.StatusServiceUnavailable, reason: reasonStale, retryAfter: longRetryAfter}
+		return access{}, newBriefRefusal(reasonStale, longRetryAfter)
 	}
 	if !found {
 		return access{}, &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
@@ -79,7 +77,7 @@
 		return a, nil
 	}
 	if !fresh {
-		return access{}, &refusal{status: http.StatusServiceUnavailable, reason: reasonStale, retryAfter: longRetryAfter}
+		return access{}, newBriefRefusal(reasonStale, longRetryAfter)
 	}
 	account, held := table.Authenticate(d.Key)
 	if !held {
@@ -100,12 +98,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	if f.refusing.Err() != nil {
-		f.logAndRefuse(w, d, refusal{status: http.StatusServiceUnavailable, reason: reasonLeaving, retryAfter: shortRetryAfter})
+		f.logAndRefuse(w, d, *newBriefRefusal(reasonLeaving, minRetryAfter), d.Timeout)
 		return
 	}
 	a, denied := authorize(state, d, arrived)
 	if denied != nil {
-		f.logAndRefuse(w, d, *denied)
+		f.logAndRefuse(w, d, *denied, d.Timeout)
 		return
 	}
 	f.serveAllowed(w, r, d, a, arrived)
@@ -123,7 +121,7 @@
 	}
 	if denied != nil {
 		w.Header().Set("Connection", "close")
-		f.logAndRefuse(w, d, *denied)
+		f.logAndRefuse(w, d, *denied, timeout-(f.clock.Now()-arrived))
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), timeout-(f.clock.Now()-arrived))
@@ -131,7 +129,7 @@
 	defer context.AfterFunc(f.ending, cancel)()
 	service, found := a.route.Service(rand.Float64())
 	if !found {
-		f.logAndRefuse(w, d, refusal{status: http.StatusServiceUnavailable, reason: reasonNoRoute, retryAfter: longRetryAfter})
+		f.logAndRefuse(w, d, *newBriefRefusal(reasonNoRoute, longRetryAfter), timeout)
 		return
 	}
 	x := &exchange{
@@ -144,16 +142,16 @@
 	defer x.leaveTrial()
 	if denied := x.checkOutage(); denied != nil {
 		f.trials.RecordFailed(service, f.clock.Now())
-		f.logAndRefuse(w, d, *denied)
+		f.logAndRefuse(w, d, *denied, x.left())
 		return
 	}
 	if denied := x.awaitScreened(ctx); denied != nil {
-		f.logAndRefuse(w, d, *denied)
+		f.logAndRefuse(w, d, *denied, x.left())
 		return
 	}
 	leave, denied := x.enter(ctx)
 	if denied != nil {
-		f.logAndRefuse(w, d, *denied)
+		f.logAndRefuse(w, d, *denied, x.left())
 		return
 	}
 	defer leave()
@@ -177,9 +175,9 @@
 	if denied := x.leaving(); denied != nil {
 		return nil, denied
 	}
-	pace, pressure := x.gate.Pace(), x.gate.RecordRequest(true, f.clock.Now())
+	pace := x.gate.Pace()
 	return nil, &refusal{
-		status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: x.retryAfter(pressure.RetryAfter(rand.Float64())),
+		status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: x.returnAfter(x.roomIn()),
 		logArgs: []any{"service", x.service, "open", pace.Open(), "limit", pace.Limit(), "pause", pace.MeanGap(), "waiting", x.gate.Waiting()},
 	}
 }
@@ -196,18 +194,14 @@
 	return timeout
 }
 
-// jitteredRetryAfter returns the retry delay for a full service, with jitter so that refused callers do not return all
-// at once.
-func jitteredRetryAfter() time.Duration { return shortRetryAfter/2 + rand.N(shortRetryAfter) }
-
-// logAndRefuse refuses a request of which nothing was sent to a runner.
-func (f *Forwarder) logAndRefuse(w http.ResponseWriter, d demand.Request, r refusal) {
+// logAndRefuse refuses a request of which nothing was sent to a runner, to a caller that has some time left, 0 if that is not known.
+func (f *Forwarder) logAndRefuse(w http.ResponseWriter, d demand.Request, r refusal, left time.Duration) {
 	state := f.snapshot()
 	table, _ := state.Table()
 	f.log.Info("request refused; nothing was sent to a runner", append([]any{
 		"request", d.ID, "status", r.status, "reason", r.reason, "version", table.Version(), "age", state.Age(f.clock.Now()),
 	}, r.logArgs...)...)
-	f.refuse(w, r)
+	f.refuse(w, r, left)
 }
 
 // readBody reads a request's body, of at most maxBytes or else defaultMaxBody, within the timeout and into a reservation, or returns
@@ -240,9 +234,9 @@
 	case errors.As(err, &tooLarge), fault.KindOf[budgeter.Kind](err) == budgeter.KindTooLarge:
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: reasonLarge}
 	case fault.KindOf[budgeter.Kind](err) == budgeter.KindFull:
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: reasonMemory, retryAfter: jitteredRetryAfter()}
+		return nil, newBriefRefusal(reasonMemory, jittered(minRetryAfter))
 	case err != nil && f.refusing.Err() != nil:
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: reasonLeaving, retryAfter: shortRetryAfter}
+		return nil, newBriefRefusal(reasonLeaving, minRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &refusal{status: http.StatusRequestTimeout, reason: reasonSlow}
 	case err != nil:
--- a/transport/forwarder/wait.go
+++ b/transport/forwarder/wait.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
 // minWork is how long a request and its answer take at least: the way to a runner and back, and to the caller.
 const minWork = 10 * time.Millisecond
 
+// minRetryAfter is the shortest retry delay that is told: nothing that a request was refused for passes sooner than a few passes and
+// round trips.
+const minRetryAfter = 200 * time.Millisecond
+
 // promptTime returns how long a runner of a service takes at least to read a prompt.
 func (f *Forwarder) promptTime(service string, tokens int) time.Duration {
 	table, _ := f.snapshot().Table()
@@ -43,3 +48,34 @@
 		cancel()
 	}
 }
+
+// jittered returns a retry delay with up to half of it added at random, so that callers do not return all at once.
+func jittered(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Float64()/2*float64(d))
+}
+
+// left returns how much of its time the caller has left.
+func (x *exchange) left() time.Duration { return x.timeout - (x.forwarder.clock.Now() - x.arrivedAt) }
+
+// returnAfter returns the retry delay for a request that can be served after some time, or when runners that are down are back if that is
+// later, but no later than the caller returns in any case. One that will not have the time for an answer then is told a time after
+// its own: it would return in vain.
+func (x *exchange) returnAfter(wait time.Duration) time.Duration {
+	f, left := x.forwarder, x.left()
+	wait = max(minRetryAfter, wait, x.outageLeft())
+	after := min(jittered(wait), f.dialect.LatestReturn(left))
+	if after+f.estimates.Work(x.kind).Begin.Mean()+x.promptTime > left {
+		return max(wait, left)
+	}
+	return after
+}
+
+// roomIn returns how soon the request is expected to find room.
+func (x *exchange) roomIn() time.Duration {
+	f, state := x.forwarder, x.forwarder.snapshot()
+	now := f.clock.Now()
+	if f.IsProbed(state, x.service, len(state.Heartbeats(now))+1) {
+		return x.gate.Vacancy().Wait(now)
+	}
+	return x.gate.Pace().WaitFor(x.gate.Waiting(), f.estimates.Work(x.kind).Whole.Mean())
+}
