--- a/transport/forwarder/standby.go
+++ b/transport/forwarder/standby.go
@@ -10,16 +10,12 @@
 )
 
 const (
-	// answerTimeoutFactor times the route's latency target is how long a runner may take to give the first event of a stream,
-	// or another answer in full, before another runner is asked, too.
-	answerTimeoutFactor = 2
-	// stallTimeout is how long a stream may be without an event before another runner is asked, too: well below the 2 s after
-	// which callers give up.
-	stallTimeout = 700 * time.Millisecond
-	// pauseInterval is the time between two checks of an answer that pauses, and minPauseInterval the time until the first one
-	// at least.
-	pauseInterval    = stallTimeout / 2
-	minPauseInterval = stallTimeout / 8
+	// minSilence is how long a runner may give nothing at least before another one is asked, too: turns of a busy VM, a lost packet.
+	minSilence = 200 * time.Millisecond
+	// firstSilence is the same while it is not known how long runners take (RFC 6298).
+	firstSilence = time.Second
+	// pauseInterval is the shortest time between two checks whether an answer pauses.
+	pauseInterval = 100 * time.Millisecond
 	// acceptTime is how long after it began an attempt counts as accepted by its runner: refusals come within milliseconds.
 	acceptTime = 200 * time.Millisecond
 )
@@ -33,7 +29,7 @@
 	if event := x.call.due(); event != nil {
 		return event
 	}
-	timer := time.NewTimer(max(minPauseInterval, x.call.pauseIn(x.forwarder.clock.Now())))
+	timer := time.NewTimer(x.nextPauseCheck())
 	defer timer.Stop()
 	for {
 		// Without a standby the two channels stay nil, and block.
@@ -55,7 +51,7 @@
 		case <-timer.C:
 			x.checkPause(ctx)
 			x.checkAccepted()
-			timer.Reset(pauseInterval)
+			timer.Reset(x.nextPauseCheck())
 		}
 		if event != nil {
 			return event
@@ -113,35 +109,49 @@
 	return false
 }
 
-// pauseIn returns how long the runner may still give nothing before the answer counts as paused.
-func (c *call) pauseIn(now time.Duration) time.Duration {
-	if c.headAt == 0 {
-		return answerTimeoutFactor*c.exchange.access.route.LatencyTarget() - (now - c.sentAt)
+// silence returns how long a runner may give nothing before another one is asked, too: longer than nearly all take to begin an answer.
+// A request that a runner preempts is read again, which takes as long.
+func (x *exchange) silence() time.Duration {
+	begin := x.forwarder.estimates.Work(x.kind).Begin
+	if !begin.IsKnown() {
+		return firstSilence + x.promptTime
 	}
-	return stallTimeout - (now - max(c.headAt, c.lastEventAt))
+	return max(minSilence, begin.Most()) + x.promptTime
+}
+
+// lastSign returns when the runner last gave something of the answer, or got the request.
+func (c *call) lastSign() time.Duration { return max(c.sentAt, c.headAt, c.lastEventAt) }
+
+// nextPauseCheck returns in which time the answer may count as paused.
+func (x *exchange) nextPauseCheck() time.Duration {
+	return max(pauseInterval, x.call.lastSign()+x.silence()-x.forwarder.clock.Now())
 }
 
 // isPaused reports whether the runner gives nothing of the answer although it, or others of its service, give events of
 // other requests. Comments, and bytes that do not yet make up an event, are no sign that an answer advances.
 func (c *call) isPaused(now time.Duration) bool {
 	x := c.exchange
-	if c.headAt > 0 && now-max(c.headAt, c.lastEventAt) >= stallTimeout && x.gate.IsAdvancing(now) {
+	silence := x.silence()
+	if now-c.lastSign() < silence {
+		return false
+	}
+	if c.headAt > 0 && x.gate.IsAdvancing(now) {
 		return true
 	}
-	wait := answerTimeoutFactor * x.access.route.LatencyTarget()
-	if c.lastEventAt > 0 || wait == 0 || now-c.sentAt < wait {
+	if c.lastEventAt > 0 {
 		return false
 	}
 	// A runner that gave an event of another request lately works, and has only not come to this one. Ranks of a group that
 	// is down say themselves that they did not run the request.
-	return !x.isDown() && x.forwarder.tracker.LastAnswer(c.runner.ID()) <= now-wait/2
+	return !x.isDown() && x.forwarder.tracker.LastAnswer(c.runner.ID()) <= now-silence/2
 }
 
-// checkPause begins another attempt beside the current one if the answer pauses and another attempt is allowed and possible
-// now. The current one goes on in any case, as silence does not tell a runner that is lost from one that still works.
+// checkPause begins another attempt beside the current one if the answer pauses, another attempt is allowed and possible now, and
+// another runner could still answer in the caller's time. The current one goes on in any case, as silence does not tell a runner
+// that is lost from one that still works.
 func (x *exchange) checkPause(ctx context.Context) {
 	f, now := x.forwarder, x.forwarder.clock.Now()
-	if x.standby != nil || ctx.Err() != nil || !x.call.isPaused(now) || x.isDown() {
+	if x.standby != nil || ctx.Err() != nil || now > x.latestStart() || !x.call.isPaused(now) || x.isDown() {
 		return
 	}
 	before := x.dispatch
--- a/transport/forwarder/standby_test.go
+++ b/transport/forwarder/standby_test.go
@@ -68,15 +68,7 @@
 				if a == nil || a.Code != http.StatusOK || a.Body.String() != want {
 					t.Errorf("got %+v", a)
 				}
-				runs := 0
-				for _, r := range w.runners {
-					for _, run := range r.Runs() {
-						if run.Body == "paused" {
-							runs++
-						}
-					}
-				}
-				if runs != test.runs {
+				if runs := w.runsOf("paused"); runs != test.runs {
 					t.Errorf("the request ran %d times, want %d", runs, test.runs)
 				}
 			})
@@ -103,6 +95,51 @@
 	}
 }
 
+// runsOf returns how many runners a request with some body reached.
+func (w *world) runsOf(body string) int {
+	runs := 0
+	for _, r := range w.runners {
+		for _, run := range r.Runs() {
+			if run.Body == body {
+				runs++
+			}
+		}
+	}
+	return runs
+}
+
+// TestUsualTimeIsNoPause guards against requests that are sent to a second runner, at the cost of the budget that all share, although the
+// first one takes no longer than runners do, or although no other could answer in the caller's time.
+func TestUsualTimeIsNoPause(t *testing.T) {
+	const (
+		usual    = 400 * time.Millisecond
+		requests = 5
+	)
+	w := newWorld(t, 2)
+	for _, r := range w.runners {
+		r.PauseOnBody("usual", usual)
+	}
+	for range requests {
+		if a := w.callWith("/look/x", "usual"); a.Code != http.StatusOK {
+			t.Fatalf("status %d: %s", a.Code, a.Body)
+		}
+	}
+	if n := w.runsOf("usual"); n != requests {
+		t.Errorf("%d requests ran %d times", requests, n)
+	}
+	for _, r := range w.runners {
+		r.SetFault(site.FaultNoAnswer)
+	}
+	for i, want := range []int{1, 2} {
+		w.configure(uint64(2+i), key)
+		deadline := time.Duration(2*want) * usual
+		body := deadline.String()
+		if w.callWithin("/look/x", body, deadline); w.runsOf(body) != want {
+			t.Errorf("a request with %v ran %d times, want %d", deadline, w.runsOf(body), want)
+		}
+	}
+}
+
 // TestRankThatBeganNothingIsLeftForAnother guards against two ranks of one group that both keep a request which neither has begun, so
 // that neither can drop it when the caller leaves while the group is held.
 func TestRankThatBeganNothingIsLeftForAnother(t *testing.T) {
