--- a/coordination/pacer/level.go
+++ b/coordination/pacer/level.go
@@ -2,18 +2,15 @@
 
 import "time"
 
-const (
-	// minLevel is the share of a runner's slots up to which requests are always admitted.
-	minLevel = 0.5
-	// loadWeight is the weight of one more observed load in the mean.
-	loadWeight = 0.1
-)
+// loadWeight is the weight of one more observed load in the mean.
+const loadWeight = 0.1
 
 // Level is the share of each runner's slots that may be in use, as an immutable value. Unlike Pace, it bounds the work of
 // all entries together, as they see what each runner has open, and needs no share of its own for each entry. It follows
 // the mean gap between events, which is the same for all runners of a group.
 type Level struct {
 	limit, load     float64
+	least           float64
 	maxGap, baseGap time.Duration
 	gaps            gaps
 }
@@ -28,13 +25,20 @@
 	return l
 }
 
+// WithSlots returns the level for runners that each execute a number of requests at once, 0 if it is not known: one request may be
+// open at each of them in any case.
+func (l Level) WithSlots(slots float64) Level {
+	l.least = 1 / max(1, slots)
+	return l
+}
+
 // WithLoad returns the level after a runner was seen with a share of its slots in use.
 func (l Level) WithLoad(share float64) Level {
 	l.load += loadWeight * (share - l.load)
 	return l
 }
 
-// Limit returns the share of slots that may be in use, from 0.5 to 1.
+// Limit returns the share of slots that may be in use, from that of a single request to 1.
 func (l Level) Limit() float64 { return l.limit }
 
 // Allowed returns how many requests a runner with a number of slots may have open. The offset, from 0 to 1, differs
@@ -44,7 +48,7 @@
 }
 
 // WithGap returns the level after a gap between two events of a stream, with the limit adjusted if that is due. The limit
-// shrinks from the mean load if that is lower, and grows only while most of it is in use.
+// shrinks from the mean load if that is lower, and grows only while most of it is in use, by up to one request at each runner.
 func (l Level) WithGap(d, now time.Duration) Level {
 	if l.maxGap == 0 {
 		l.limit = 1
@@ -60,8 +64,8 @@
 	case factor < 1:
 		l.limit = min(l.limit, l.load) * max(minFactor, factor)
 	case l.load >= growthUse*l.limit:
-		l.limit *= min(maxFactor, factor)
+		l.limit = max(l.limit*min(maxFactor, factor), min(l.limit+l.least, l.limit*factor))
 	}
-	l.limit = min(max(l.limit, minLevel), 1)
+	l.limit = min(max(l.limit, l.least), 1)
 	return l
 }
--- a/coordination/pacer/level_test.go
+++ b/coordination/pacer/level_test.go
@@ -34,7 +34,7 @@
 		ends: make([][]int, eventsPerRequest),
 	}
 	for range entries {
-		f.levels = append(f.levels, pacer.NewLevel().WithTarget(maxGap, base))
+		f.levels = append(f.levels, pacer.NewLevel().WithTarget(maxGap, base).WithSlots(float64(slots)))
 	}
 	return f
 }
@@ -120,32 +120,36 @@
 }
 
 // TestLevelFollowsAReducedCapacity slows the group down under load, as a bad expert map does, and back: the gaps return
-// below the longest one in time, and the room is used again afterwards.
+// below the longest one in time, also where half of the slots are too many for that, and the room is used again afterwards.
 func TestLevelFollowsAReducedCapacity(t *testing.T) {
-	f := newFleet(148, 129, 6, 12*time.Millisecond)
-	anywhere := func() int { return f.random.IntN(148) }
-	for range 100 {
-		f.pass(600, anywhere)
-	}
-	before := f.gap
-	f.perOpen = 24 * time.Millisecond
-	for range 100 {
-		f.pass(600, anywhere)
-	}
-	if f.gap > maxGap {
-		t.Errorf("gap %v while the group is slow", f.gap)
-	}
-	f.perOpen = 12 * time.Millisecond
-	for range 200 {
-		f.pass(600, anywhere)
-	}
-	if f.gap < before*9/10 {
-		t.Errorf("gap %v after the group is fast again, %v before", f.gap, before)
+	for name, perOpen := range map[string]time.Duration{"half as fast": 24 * time.Millisecond, "a fifth": 60 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(148, 129, 6, 12*time.Millisecond)
+			anywhere := func() int { return f.random.IntN(148) }
+			for range 100 {
+				f.pass(600, anywhere)
+			}
+			before := f.gap
+			f.perOpen = perOpen
+			for range 100 {
+				f.pass(600, anywhere)
+			}
+			if f.gap > maxGap {
+				t.Errorf("gap %v while the group is slow", f.gap)
+			}
+			f.perOpen = 12 * time.Millisecond
+			for range 200 {
+				f.pass(600, anywhere)
+			}
+			if f.gap < before*9/10 {
+				t.Errorf("gap %v after the group is fast again, %v before", f.gap, before)
+			}
+		})
 	}
 }
 
 func TestAllowedRoundsDifferently(t *testing.T) {
-	l := pacer.NewLevel().WithTarget(maxGap, base).WithLoad(1)
+	l := pacer.NewLevel().WithTarget(maxGap, base).WithSlots(6).WithLoad(1)
 	if got := l.Allowed(6, 0.9); got != 6 {
 		t.Errorf("%d of 6 slots allowed at first", got)
 	}
--- a/coordination/pacer/pace.go
+++ b/coordination/pacer/pace.go
@@ -24,6 +24,7 @@
 // mean gap between events of streams.
 type Pace struct {
 	limit, floor, ceiling float64
+	slots                 float64
 	maxGap, baseGap       time.Duration
 	open                  int
 	gaps                  gaps
@@ -32,20 +33,22 @@
 
 // Bounds are the limits, in requests, and the target gaps of a service at one entry.
 type Bounds struct {
-	// Floor and Ceiling bound the limit, in open requests.
-	Floor, Ceiling float64
+	// Floor and Ceiling bound the limit, in open requests, and Start is where it starts, at the floor if that is higher.
+	Floor, Start, Ceiling float64
+	// Slots is how many requests each runner executes at once, 0 if it is not known.
+	Slots float64
 	// MaxGap is the longest gap between events that is in time; if it is 0, the limit is always the ceiling.
 	MaxGap time.Duration
 	// BaseGap is the gap between events of a stream at a runner without other work.
 	BaseGap time.Duration
 }
 
-// New returns a pace without open requests, whose limit starts at the floor.
-func New(b Bounds) Pace { return Pace{limit: b.Floor}.WithBounds(b) }
+// New returns a pace without open requests.
+func New(b Bounds) Pace { return Pace{limit: b.Start}.WithBounds(b) }
 
 // WithBounds returns the pace with other bounds, to which the limit is clamped.
 func (p Pace) WithBounds(b Bounds) Pace {
-	p.floor, p.ceiling, p.maxGap, p.baseGap = b.Floor, max(b.Floor, b.Ceiling), b.MaxGap, b.BaseGap
+	p.floor, p.ceiling, p.maxGap, p.baseGap, p.slots = b.Floor, max(b.Floor, b.Ceiling), b.MaxGap, b.BaseGap, b.Slots
 	if p.maxGap == 0 {
 		p.limit = p.ceiling
 	}
--- a/coordination/pacer/pacer_test.go
+++ b/coordination/pacer/pacer_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/kingcupstile/kingcupstile/coordination/pacer"
+	"github.com/kingcupstile/kingcupstile/state/routing"
+	"github.com/kingcupstile/kingcupstile/state/runner"
 )
 
 const (
@@ -58,6 +61,49 @@
 	}
 }
 
+// TestBoundsOfManyEntries has entries with an even share of the callers before a group, under more demand than it admits: the gaps stay in
+// time, also where half of the slots are too many for that, and all slots are used where they are not. A new entry starts at its share.
+func TestBoundsOfManyEntries(t *testing.T) {
+	const entries, runners, slots = 9, 12, 12
+	list := make([]runner.Runner, 0, runners)
+	for n := range runners {
+		list = append(list, runner.New(fmt.Sprint(n), "pool", "127.0.0.1:1", runner.Slots(slots)))
+	}
+	service := routing.NewService("pool", 0, routing.Engine{StepTime: base / 4, StepsPerPass: 4})
+	for name, test := range map[string]struct {
+		perOpen time.Duration
+		least   float64
+	}{
+		"fast": {4 * time.Millisecond, slots - 1}, "half of the slots are too many": {20 * time.Millisecond, 3},
+		"more than two at a runner are": {45 * time.Millisecond, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := pacer.New(pacer.BoundsFor(service, list, entries, maxGap))
+			if p.Limit() != runners*slots/entries {
+				t.Errorf("limit %g at first", p.Limit())
+			}
+			now, gap, perRunner := time.Duration(0), base, 0.0
+			for range 600 {
+				for p.HasRoom() {
+					p = p.WithOpened()
+				}
+				for float64(p.Open()) > max(1, p.Limit()) {
+					p = p.WithClosed()
+				}
+				perRunner = float64(p.Open()) * entries / runners
+				gap = base + time.Duration(perRunner*float64(test.perOpen))
+				now += gap
+				for range p.Open() {
+					p = p.WithGap(gap, now)
+				}
+			}
+			if gap > maxGap || perRunner < test.least {
+				t.Errorf("gap %v with %.1f requests at a runner", gap, perRunner)
+			}
+		})
+	}
+}
+
 // second is a time on the gate's clock.
 const second = time.Second
 
--- a/coordination/pacer/room.go
+++ b/coordination/pacer/room.go
@@ -8,42 +8,51 @@
 	"github.com/kingcupstile/kingcupstile/state/runner"
 )
 
-const (
-	// floorShare is the share of all runners' slots, divided evenly among the entries, up to which no request is
-	// refused: a refusal while fewer are in use gains nothing.
-	floorShare = 0.5
-	// plainShare is how many requests may be open for each slot if answers are not streams: those beyond the slots wait
-	// at the runner.
-	plainShare = 2.0
-	// ceilingShare is the share of all slots that one entry may use: all of them, as callers may use only a few
-	// entries.
-	ceilingShare = 1.0
-)
+// plainShare is how many requests may be open for each slot if answers are not streams: those beyond the slots wait at the runner,
+// which queues a few and rejects more.
+const plainShare = 2.0
 
 // Unbounded returns the bounds for a service whose runners' room is asked for before each request, so that the entry
 // needs no limit of its own; gap is as for BoundsFor.
-func Unbounded(s routing.Service, gap time.Duration) Bounds {
-	e := s.Engine()
-	return Bounds{Floor: math.MaxInt32, Ceiling: math.MaxInt32, MaxGap: gap, BaseGap: time.Duration(e.StepsPerPass) * e.StepTime}
+func Unbounded(s routing.Service, runners []runner.Runner, gap time.Duration) Bounds {
+	b := boundsOf(s, readyOf(runners), gap)
+	b.Floor, b.Ceiling = math.MaxInt32, math.MaxInt32
+	return b
 }
 
 // BoundsFor returns the bounds for a service at one of several entries, by the slots of its ready runners; gap is the
-// longest gap between events that is in time, 0 for answers that are not streams.
+// longest gap between events that is in time, 0 for answers that are not streams. The limit starts at an even share of the slots and
+// may grow to all of them, as callers may use only a few entries. It may shrink to an even share of one request at each runner, at
+// which streams are as fast as they can be.
 func BoundsFor(s routing.Service, runners []runner.Runner, entries int, gap time.Duration) Bounds {
-	slots := 0
+	ready := readyOf(runners)
+	slots := float64(ready.slots)
+	if gap == 0 {
+		return Bounds{Floor: plainShare * slots, Ceiling: plainShare * slots}
+	}
+	b, each := boundsOf(s, ready, gap), 1/float64(max(1, entries))
+	b.Floor, b.Start, b.Ceiling = each*float64(ready.count), each*slots, slots
+	return b
+}
+
+// readyRunners are the ready runners of a service and their slots.
+type readyRunners struct{ count, slots int }
+
+func readyOf(runners []runner.Runner) readyRunners {
+	var ready readyRunners
 	for _, r := range runners {
 		if r.IsReady() {
-			slots += r.Slots()
+			ready.count++
+			ready.slots += r.Slots()
 		}
 	}
-	if gap == 0 {
-		return Bounds{Floor: plainShare * float64(slots), Ceiling: plainShare * float64(slots)}
-	}
+	return ready
+}
+
+// boundsOf returns the gaps of a service and the slots of each of its runners.
+func boundsOf(s routing.Service, ready readyRunners, gap time.Duration) Bounds {
 	e := s.Engine()
 	return Bounds{
-		Floor:   floorShare * float64(slots) / float64(max(1, entries)),
-		Ceiling: ceilingShare * float64(slots),
-		MaxGap:  gap,
-		BaseGap: time.Duration(e.StepsPerPass) * e.StepTime,
+		MaxGap: gap, BaseGap: time.Duration(e.StepsPerPass) * e.StepTime, Slots: float64(ready.slots) / float64(max(1, ready.count)),
 	}
 }
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -133,9 +133,10 @@
 	table, _ := state.Table()
 	s, _ := table.Service(service)
 	entries := len(state.Heartbeats(now)) + 1
-	bounds := pacer.BoundsFor(s, state.Runners().OfService(service), entries, gap)
+	runners := state.Runners().OfService(service)
+	bounds := pacer.BoundsFor(s, runners, entries, gap)
 	if f.IsProbed(state, service, entries) {
-		bounds = pacer.Unbounded(s, gap)
+		bounds = pacer.Unbounded(s, runners, gap)
 	}
 	value, found := f.gates.Load(service)
 	if !found {
