--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -126,9 +126,12 @@
 	case room == roomNone:
 		return dispatcher.NoEndpointLeft{}
 	case room == roomFull:
-		x.denied = &refusal{
-			status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: x.returnAfter(max(x.roomIn(), x.restEnd-now)),
+		retryAfter := x.returnAfter(x.roomIn())
+		if rest := x.restEnd - now; rest > retryAfter {
+			// The runners have said until when they want nothing, so that an earlier return is in vain.
+			retryAfter = jittered(rest)
 		}
+		x.denied = &refusal{status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: retryAfter}
 		return dispatcher.SendDenied{Reason: reasonFull}
 	}
 	if x.dispatch.Number() > 1 {
--- a/transport/forwarder/outage_test.go
+++ b/transport/forwarder/outage_test.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// TestReturnFollowsFromTheTimeLeft has runners down for some seconds: a caller is told to return when they are back, or within a third of
-// the time that it has, as it returns then in any case; one whose work cannot be done in its time is told a time after that.
+// TestReturnFollowsFromTheTimeLeft has runners down for some seconds: a caller is told to return when they are back, or within a
+// third of the time that it has, as it returns then in any case; one whose work cannot be done in its time is told a time after that.
 func TestReturnFollowsFromTheTimeLeft(t *testing.T) {
 	const usual = 250 * time.Millisecond
 	for name, test := range map[string]struct {
--- a/transport/forwarder/wait.go
+++ b/transport/forwarder/wait.go
@@ -57,15 +57,14 @@
 // left returns how much of its time the caller has left.
 func (x *exchange) left() time.Duration { return x.timeout - (x.forwarder.clock.Now() - x.arrivedAt) }
 
-// returnAfter returns the retry delay for a request that can be served after some time, or when runners that are down are back if that is
-// later, but no later than the caller returns in any case. One that will not have the time for an answer then is told a time after
-// its own: it would return in vain.
-func (x *exchange) returnAfter(wait time.Duration) time.Duration {
+// returnAfter returns the retry delay for a request that is expected to be served after some time, or when runners that are down are
+// back if that is later: no later than the caller returns in any case, as it is an estimate. A caller that will not have the time for
+// an answer then is told a time after its own, so that it can see that a return is in vain.
+func (x *exchange) returnAfter(expected time.Duration) time.Duration {
 	f, left := x.forwarder, x.left()
-	wait = max(minRetryAfter, wait, x.outageLeft())
-	after := min(jittered(wait), f.dialect.LatestReturn(left))
+	after := min(jittered(max(minRetryAfter, expected, x.outageLeft())), f.dialect.LatestReturn(left))
 	if after+f.estimates.Work(x.kind).Begin.Mean()+x.promptTime > left {
-		return max(wait, left)
+		return max(expected, left+minWork)
 	}
 	return after
 }
