--- a/coordination/overseer/parts.go
+++ b/coordination/overseer/parts.go
@@ -54,6 +54,9 @@
 	return s.informedAt >= s.runningSince || running > informTime || running > quietTime && !s.hearsOfMore()
 }
 
+// RunningSince returns since when this process runs without a pause.
+func (s State) RunningSince() time.Duration { return s.runningSince }
+
 // hearsOfMore reports whether an entry was heard from, since this one started or was paused, that may know more.
 func (s State) hearsOfMore() bool {
 	for _, e := range s.peers {
--- a/coordination/quarantiner/quarantiner.go
+++ b/coordination/quarantiner/quarantiner.go
@@ -83,9 +83,13 @@
 	return held
 }
 
-// IsTrialDue reports whether a request that is held back for some parts may be tried. The trial of suspects is due once the
-// requests that were refused for each outweigh the cost of the loss, times the odds that the trial ends like it: neither
-// the refusals of a sound part nor the trial of a deadly one then cost much more than was unavoidable.
+// unknownCost is the cost of a loss that an entry did not live through.
+const unknownCost = -1
+
+// IsTrialDue reports whether a request that is held back for some parts may be tried. The trial of suspects is due once more
+// callers were refused for each than would get no answer if the trial ends like the loss, by how many got none after that, times
+// the odds that it does: neither holding a sound part back nor trying a deadly one then costs callers much more answers than was
+// unavoidable. Where it is not known how many got none, the trial is due when the suspicion ends.
 func IsTrialDue(held []Held, refused func(suspect.Part) int, cost int, now time.Duration) bool {
 	guilt := 0.0
 	for _, h := range held {
@@ -99,7 +103,7 @@
 		case now-h.Strikes.Last < knownAfter:
 			return false
 		case now >= ReleasedAt(h.Strikes):
-		case !isSuspect || float64(refused(h.Part)) < threshold:
+		case !isSuspect || cost == unknownCost || float64(refused(h.Part)) < threshold:
 			return false
 		}
 	}
--- a/coordination/quarantiner/trials.go
+++ b/coordination/quarantiner/trials.go
@@ -108,9 +108,10 @@
 	}
 }
 
-// Begin starts the trial of a request if it is due and none with one of its parts is running. The caller must call end
-// when the runner has begun to answer the request or the request is over; further calls have no effect.
-func (t *Trials) Begin(held []Held, service string, now time.Duration) (end func(), begun bool) {
+// Begin starts the trial of a request if it is due and none with one of its parts is running, at an entry that has run since a time
+// without a pause. The caller must call end when the runner has begun to answer the request or the request is over; further calls
+// have no effect.
+func (t *Trials) Begin(held []Held, service string, since, now time.Duration) (end func(), begun bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, h := range held {
@@ -118,7 +119,11 @@
 			return nil, false
 		}
 	}
-	if !IsTrialDue(held, func(part suspect.Part) int { return t.refused[part] }, t.costs[service].requests, now) {
+	cost := unknownCost
+	if c, found := t.costs[service]; found && c.lostAt >= since && c.covers(held) {
+		cost = c.requests
+	}
+	if !IsTrialDue(held, func(part suspect.Part) int { return t.refused[part] }, cost, now) {
 		return nil, false
 	}
 	for _, h := range held {
@@ -136,6 +141,13 @@
 // costWindow is how long after a loss the requests that fail count as its cost.
 const costWindow = 10 * time.Second
 
+// covers reports whether the requests that failed because of the losses due to some parts were counted.
+func (c cost) covers(held []Held) bool {
+	return !slices.ContainsFunc(held, func(h Held) bool {
+		return h.Strikes.Last < c.lostAt-knownAfter || h.Strikes.Last > c.lostAt+costWindow
+	})
+}
+
 // RecordLoss records that a runner of a service was lost at a time. For each incident, the requests that fail because of it
 // and those that are refused for parts are counted anew.
 func (t *Trials) RecordLoss(service string, at time.Duration) {
