--- a/coordination/overseer/parts.go
+++ b/coordination/overseer/parts.go
@@ -54,8 +54,13 @@
 	return s.informedAt >= s.runningSince || running > informTime || running > quietTime && !s.hearsOfMore()
 }
 
-// RunningSince returns since when this process runs without a pause.
-func (s State) RunningSince() time.Duration { return s.runningSince }
+// PausedUntil returns until when this process was last paused, 0 if it never was.
+func (s State) PausedUntil() time.Duration {
+	if !s.wasPaused {
+		return 0
+	}
+	return s.runningSince
+}
 
 // hearsOfMore reports whether an entry was heard from, since this one started or was paused, that may know more.
 func (s State) hearsOfMore() bool {
--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -114,15 +114,15 @@
 	for range 2 {
 		trials.RecordRefusal(h)
 	}
-	end, begun := trials.Begin(h, "s", second, 20*second)
+	end, begun := trials.Begin(h, "s", 0, 20*second)
 	if !begun {
 		t.Fatal("the first trial is not allowed")
 	}
-	if _, again := trials.Begin(h, "s", second, 20*second); again {
+	if _, again := trials.Begin(h, "s", 0, 20*second); again {
 		t.Error("two trials of a part at once")
 	}
 	end()
-	if _, again := trials.Begin(h, "s", second, 20*second); !again {
+	if _, again := trials.Begin(h, "s", 0, 20*second); !again {
 		t.Error("no trial after the first one has ended")
 	}
 }
@@ -131,19 +131,21 @@
 // many callers got no answer for it, and must not try the part after a few refusals.
 func TestLossBeforeTheStartIsNoBargain(t *testing.T) {
 	for name, test := range map[string]struct {
-		since    time.Duration
-		recorded []time.Duration
-		at       time.Duration
-		want     bool
+		startedAt, pausedUntil time.Duration
+		recorded               []time.Duration
+		at                     time.Duration
+		want                   bool
 	}{
-		"lived through it":             {second, []time.Duration{10 * second}, 20 * second, true},
-		"started after it":             {15 * second, nil, 20 * second, false},
-		"was told of it after a pause": {15 * second, []time.Duration{10 * second}, 20 * second, false},
-		"lived through another one":    {second, []time.Duration{second}, 20 * second, false},
-		"the suspicion ends":           {15 * second, nil, 73 * second, true},
+		"lived through it":      {second, 0, []time.Duration{10 * second}, 20 * second, true},
+		"paused before it":      {second, 5 * second, []time.Duration{10 * second}, 20 * second, true},
+		"not told of it":        {15 * second, 0, nil, 20 * second, false},
+		"started after it":      {15 * second, 0, []time.Duration{10 * second}, 20 * second, false},
+		"paused after it":       {second, 15 * second, []time.Duration{10 * second}, 20 * second, false},
+		"lived through another": {second, 0, []time.Duration{second}, 20 * second, false},
+		"the suspicion ends":    {15 * second, 0, nil, 73 * second, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			trials := quarantiner.NewTrials()
+			trials := quarantiner.NewTrials(quarantiner.Since(test.startedAt))
 			for _, at := range test.recorded {
 				trials.RecordLoss("s", at)
 			}
@@ -151,7 +153,7 @@
 			for range 40 {
 				trials.RecordRefusal(h)
 			}
-			if _, begun := trials.Begin(h, "s", test.since, test.at); begun != test.want {
+			if _, begun := trials.Begin(h, "s", test.pausedUntil, test.at); begun != test.want {
 				t.Errorf("trial begun: %t", begun)
 			}
 		})
--- a/coordination/quarantiner/trials.go
+++ b/coordination/quarantiner/trials.go
@@ -27,8 +27,9 @@
 	running  map[suspect.Part]bool
 	// reported is when a loss was last reported of a part, which the control state may not have taken in yet.
 	reported map[suspect.Part]time.Duration
-	// costs holds the cost of the last loss by service.
+	// costs holds the cost of the last loss by service, of losses since then.
 	costs map[string]cost
+	since time.Duration
 }
 
 // cost is how many requests failed because of a loss.
@@ -37,14 +38,24 @@
 	requests int
 }
 
+// Option sets a field of Trials under construction.
+type Option func(*Trials)
+
+// Since sets when the entry started.
+func Since(at time.Duration) Option { return func(t *Trials) { t.since = at } }
+
 // NewTrials returns an empty memory.
-func NewTrials() *Trials {
+func NewTrials(options ...Option) *Trials {
 	// The size is positive, so that New does not fail.
 	answered, _ := lru.New[suspect.Part, time.Duration](maxAnswered)
-	return &Trials{
+	t := &Trials{
 		answered: answered, refused: map[suspect.Part]int{}, running: map[suspect.Part]bool{},
 		reported: map[suspect.Part]time.Duration{}, costs: map[string]cost{},
 	}
+	for _, option := range options {
+		option(t)
+	}
+	return t
 }
 
 // RecordAnswer records that a runner began to answer a request with some parts.
@@ -108,10 +119,10 @@
 	}
 }
 
-// Begin starts the trial of a request if it is due and none with one of its parts is running, at an entry that has run since a time
-// without a pause. The caller must call end when the runner has begun to answer the request or the request is over; further calls
-// have no effect.
-func (t *Trials) Begin(held []Held, service string, since, now time.Duration) (end func(), begun bool) {
+// Begin starts the trial of a request if it is due and none with one of its parts is running, at an entry that was last paused until
+// a time, 0 for never. The caller must call end when the runner has begun to answer the request or the request is over; further
+// calls have no effect.
+func (t *Trials) Begin(held []Held, service string, pausedUntil, now time.Duration) (end func(), begun bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, h := range held {
@@ -120,7 +131,7 @@
 		}
 	}
 	cost := unknownCost
-	if c, found := t.costs[service]; found && c.lostAt >= since && c.covers(held) {
+	if c, found := t.costs[service]; found && c.lostAt >= max(t.since, pausedUntil) && c.covers(held) {
 		cost = c.requests
 	}
 	if !IsTrialDue(held, func(part suspect.Part) int { return t.refused[part] }, cost, now) {
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -94,7 +94,8 @@
 func New(snapshot func() overseer.State, clock kingcupstile.Clock, dialect kingcupstile.Dialect, options ...Option) *Forwarder {
 	f := &Forwarder{
 		snapshot: snapshot, clock: clock, dialect: dialect, tracker: placer.NewTracker(), retrier: retrier.New(),
-		report: func(overseer.Event) {}, trials: quarantiner.NewTrials(), estimates: estimator.NewBook(), retryShare: defaultRetryShare,
+		report: func(overseer.Event) {}, trials: quarantiner.NewTrials(quarantiner.Since(clock.Now())),
+		estimates: estimator.NewBook(), retryShare: defaultRetryShare,
 		log: slog.New(slog.DiscardHandler), scope: tally.NoopScope, budgeter: budgeter.New(defaultMemory),
 	}
 	f.refusing, f.refuseAll = context.WithCancel(context.Background())
--- a/transport/forwarder/screen.go
+++ b/transport/forwarder/screen.go
@@ -49,7 +49,7 @@
 		return nil
 	}
 	if !x.lostRunner && state.IsTrialPlace(held, now) {
-		if end, begun := f.trials.Begin(held, x.service, state.RunningSince(), now); begun {
+		if end, begun := f.trials.Begin(held, x.service, state.PausedUntil(), now); begun {
 			x.endTrial = end
 			f.scope.Tagged(map[string]string{"service": x.service}).Counter("part_trials").Inc(1)
 			f.log.Info("trying a request with a part that is held back", "request", x.request.ID, "parts", x.loggedParts(),
