--- a/protocol/parser/place.go
+++ b/protocol/parser/place.go
@@ -50,8 +50,9 @@
 }
 
 const (
-	// keyAgeShare is the fraction of the revocation time for which knowledge of keys may be used without a confirmation.
-	keyAgeShare           = 0.6
+	// keyAgeMargin is how much less than the revocation time knowledge of keys may be used without a confirmation: a pause of the
+	// process up to this length is not noticed, and may come between the check of a key and what is done by it.
+	keyAgeMargin          = 500 * time.Millisecond
 	defaultRevocationTime = 5 * time.Second
 	defaultPlatformGrace  = 8 * time.Second
 	defaultLookupTTL      = 2 * time.Second
@@ -63,7 +64,7 @@
 
 // MaxKeyAge returns how old an entry's knowledge of keys may be before the entry must not rely on it.
 func (p PlatformSettings) MaxKeyAge() time.Duration {
-	return time.Duration(keyAgeShare * float64(p.RevocationTime))
+	return max(0, p.RevocationTime-keyAgeMargin)
 }
 
 // ParsePlatformSettings parses the settings of a daemon on the users' platform, or returns an Error that lists the
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -25,7 +25,7 @@
 
 const (
 	key = "key-1"
-	// revoke is how soon a removed key must be refused; the entry trusts its configuration for 0.6 of it.
+	// revoke is how soon a removed key must be refused.
 	revoke = 2 * time.Second
 )
 
