--- a/coordination/pacer/level.go
+++ b/coordination/pacer/level.go
@@ -48,7 +48,7 @@
 }
 
 // WithGap returns the level after a gap between two events of a stream, with the limit adjusted if that is due. The limit
-// shrinks from the mean load if that is lower, and grows only while most of it is in use, by up to one request at each runner.
+// shrinks to what the mean load has to become, and grows only while most of it is in use, by up to one request at each runner.
 func (l Level) WithGap(d, now time.Duration) Level {
 	if l.maxGap == 0 {
 		l.limit = 1
@@ -62,7 +62,7 @@
 	factor := gapFactor(l.maxGap, l.baseGap, mean)
 	switch {
 	case factor < 1:
-		l.limit = min(l.limit, l.load) * max(minFactor, factor)
+		l.limit = min(l.limit, l.load*max(minFactor, factor))
 	case l.load >= growthUse*l.limit:
 		l.limit = max(l.limit*min(maxFactor, factor), min(l.limit+l.least, l.limit*factor))
 	}
--- a/coordination/pacer/pace.go
+++ b/coordination/pacer/pace.go
@@ -104,13 +104,13 @@
 	return p.withAdjustedLimit()
 }
 
-// withAdjustedLimit scales the limit by the gapFactor. The limit shrinks from the number of open requests if that is
-// lower, and grows only while most of it is in use: a share of it, or as many whole requests as it allows.
+// withAdjustedLimit sets the limit by the gapFactor. The limit shrinks to what the open requests have to become, and no further while
+// they have not ended; it grows only while most of it is in use: a share of it, or as many whole requests as it allows.
 func (p Pace) withAdjustedLimit() Pace {
 	factor := gapFactor(p.maxGap, p.baseGap, p.meanGap)
 	switch {
 	case factor < 1:
-		p.limit = min(p.limit, float64(p.open)+1) * max(minFactor, factor)
+		p.limit = min(p.limit, float64(p.open)*max(minFactor, factor))
 	case float64(p.open) >= growthUse*p.limit || !p.HasRoom():
 		p.limit = max(p.limit*min(maxFactor, factor), min(p.limit+1, p.limit*factor))
 	}
--- a/coordination/pacer/pacer_test.go
+++ b/coordination/pacer/pacer_test.go
@@ -104,6 +104,34 @@
 	}
 }
 
+// TestLimitWaitsForStreamsToEnd guards against a limit that shrinks on while the streams that are too many have not ended yet, so that
+// requests are refused long after they have: twice as many are open as the gaps allow, and end one after the other.
+func TestLimitWaitsForStreamsToEnd(t *testing.T) {
+	const inTime = 20
+	p := pacer.New(pacer.Bounds{Floor: 1, Start: 2 * inTime, Ceiling: 100, MaxGap: maxGap, BaseGap: base})
+	for p.HasRoom() {
+		p = p.WithOpened()
+	}
+	for i := range 60 {
+		// The mean gap is held at three quarters of the longest one.
+		gap := base + time.Duration(p.Open())*(maxGap*3/4-base)/inTime
+		for range 4 {
+			p = p.WithGap(gap, time.Duration(i+1)*200*time.Millisecond)
+		}
+		if p.Limit() < inTime*3/4 {
+			t.Fatalf("limit %.1f with %d open after %d gaps", p.Limit(), p.Open(), 4*i)
+		}
+		if float64(p.Open()) > p.Limit() {
+			p = p.WithClosed()
+		} else if p.HasRoom() {
+			p = p.WithOpened()
+		}
+	}
+	if p.Open() < inTime-2 || p.Open() > inTime+2 {
+		t.Errorf("%d open at the end", p.Open())
+	}
+}
+
 // second is a time on the gate's clock.
 const second = time.Second
 
