--- a/coordination/pacer/gaps.go
+++ b/coordination/pacer/gaps.go
@@ -21,7 +21,6 @@
 
 // gapFactor returns the ratio of the target gap to the mean gap, each less the gap without work: the remainder grows in
 // proportion to the open requests.
-func gapFactor(maxGap, baseGap, mean time.Duration) float64 {
-	target := time.Duration(targetShare * float64(maxGap))
-	return float64(max(target-baseGap, time.Millisecond)) / float64(max(mean-baseGap, time.Millisecond))
+func gapFactor(targetGap, baseGap, mean time.Duration) float64 {
+	return float64(max(targetGap-baseGap, time.Millisecond)) / float64(max(mean-baseGap, time.Millisecond))
 }
--- a/coordination/pacer/gate.go
+++ b/coordination/pacer/gate.go
@@ -94,7 +94,7 @@
 func (g *Gate) RecordGap(d, now time.Duration) {
 	g.apply(func(p Pace) Pace {
 		g.lastEvent = now
-		g.level = g.level.WithTarget(p.maxGap, p.baseGap).WithSlots(p.slots).WithGap(d, now)
+		g.level = g.level.WithTarget(p.targetGap, p.baseGap).WithSlots(p.slots).WithGap(d, now)
 		return p.WithGap(d, now)
 	})
 }
--- a/coordination/pacer/level.go
+++ b/coordination/pacer/level.go
@@ -9,19 +9,18 @@
 // all entries together, as they see what each runner has open, and needs no share of its own for each entry. It follows
 // the mean gap between events, which is the same for all runners of a group.
 type Level struct {
-	limit, load     float64
-	least           float64
-	maxGap, baseGap time.Duration
-	gaps            gaps
+	limit, load        float64
+	least              float64
+	targetGap, baseGap time.Duration
+	gaps               gaps
 }
 
 // NewLevel returns a level at which all slots may be in use, without a target for gaps.
 func NewLevel() Level { return Level{limit: 1} }
 
-// WithTarget returns the level with the longest gap between events that is in time, and the gap at a runner without
-// other work.
-func (l Level) WithTarget(maxGap, baseGap time.Duration) Level {
-	l.maxGap, l.baseGap = maxGap, baseGap
+// WithTarget returns the level with the mean gap between events to hold, 0 for none, and the gap at a runner without other work.
+func (l Level) WithTarget(targetGap, baseGap time.Duration) Level {
+	l.targetGap, l.baseGap = targetGap, baseGap
 	return l
 }
 
@@ -50,7 +49,7 @@
 // WithGap returns the level after a gap between two events of a stream, with the limit adjusted if that is due. The limit
 // shrinks to what the mean load has to become, and grows only while most of it is in use, by up to one request at each runner.
 func (l Level) WithGap(d, now time.Duration) Level {
-	if l.maxGap == 0 {
+	if l.targetGap == 0 {
 		l.limit = 1
 		return l
 	}
@@ -59,7 +58,7 @@
 	if l.gaps, mean, due = l.gaps.with(d, now); !due {
 		return l
 	}
-	factor := gapFactor(l.maxGap, l.baseGap, mean)
+	factor := gapFactor(l.targetGap, l.baseGap, mean)
 	switch {
 	case factor < 1:
 		l.limit = min(l.limit, l.load*max(minFactor, factor))
--- a/coordination/pacer/level_test.go
+++ b/coordination/pacer/level_test.go
@@ -34,7 +34,7 @@
 		ends: make([][]int, eventsPerRequest),
 	}
 	for range entries {
-		f.levels = append(f.levels, pacer.NewLevel().WithTarget(maxGap, base).WithSlots(float64(slots)))
+		f.levels = append(f.levels, pacer.NewLevel().WithTarget(target, base).WithSlots(float64(slots)))
 	}
 	return f
 }
@@ -149,7 +149,7 @@
 }
 
 func TestAllowedRoundsDifferently(t *testing.T) {
-	l := pacer.NewLevel().WithTarget(maxGap, base).WithSlots(6).WithLoad(1)
+	l := pacer.NewLevel().WithTarget(target, base).WithSlots(6).WithLoad(1)
 	if got := l.Allowed(6, 0.9); got != 6 {
 		t.Errorf("%d of 6 slots allowed at first", got)
 	}
@@ -176,7 +176,7 @@
 // come, so that the limit has to grow.
 func TestPaceGrowsFromAFraction(t *testing.T) {
 	for _, floor := range []float64{0.3, 1.4, 2.61, 3.9} {
-		p := pacer.New(pacer.Bounds{Floor: floor, Ceiling: 30, MaxGap: maxGap, BaseGap: base})
+		p := pacer.New(pacer.Bounds{Floor: floor, Ceiling: 30, TargetGap: target, BaseGap: base})
 		for i := range 200 {
 			for p.HasRoom() {
 				p = p.WithOpened()
--- a/coordination/pacer/pace.go
+++ b/coordination/pacer/pace.go
@@ -6,9 +6,6 @@
 )
 
 const (
-	// targetShare is the share of the maximum gap at which the mean gap is held; the rest is for passes that also read
-	// prompts and for network delay.
-	targetShare = 0.75
 	// adjustInterval is the shortest time between two changes of the limit: one or two passes of an engine.
 	adjustInterval = 150 * time.Millisecond
 	// minGaps is how many gaps a mean takes at least, so that a single late event does not change the limit.
@@ -25,7 +22,7 @@
 type Pace struct {
 	limit, floor, ceiling float64
 	slots                 float64
-	maxGap, baseGap       time.Duration
+	targetGap, baseGap    time.Duration
 	open                  int
 	gaps                  gaps
 	meanGap               time.Duration
@@ -37,8 +34,8 @@
 	Floor, Start, Ceiling float64
 	// Slots is how many requests each runner executes at once, 0 if it is not known.
 	Slots float64
-	// MaxGap is the longest gap between events that is in time; if it is 0, the limit is always the ceiling.
-	MaxGap time.Duration
+	// TargetGap is the mean gap between events to hold; if it is 0, the limit is always the ceiling.
+	TargetGap time.Duration
 	// BaseGap is the gap between events of a stream at a runner without other work.
 	BaseGap time.Duration
 }
@@ -48,8 +45,8 @@
 
 // WithBounds returns the pace with other bounds, to which the limit is clamped.
 func (p Pace) WithBounds(b Bounds) Pace {
-	p.floor, p.ceiling, p.maxGap, p.baseGap, p.slots = b.Floor, max(b.Floor, b.Ceiling), b.MaxGap, b.BaseGap, b.Slots
-	if p.maxGap == 0 {
+	p.floor, p.ceiling, p.targetGap, p.baseGap, p.slots = b.Floor, max(b.Floor, b.Ceiling), b.TargetGap, b.BaseGap, b.Slots
+	if p.targetGap == 0 {
 		p.limit = p.ceiling
 	}
 	p.limit = min(max(p.limit, p.floor), p.ceiling)
@@ -92,7 +89,7 @@
 
 // WithGap returns the pace after a gap between two events of a stream, with the limit adjusted if that is due.
 func (p Pace) WithGap(d, now time.Duration) Pace {
-	if p.maxGap == 0 {
+	if p.targetGap == 0 {
 		return p
 	}
 	next, mean, due := p.gaps.with(d, now)
@@ -107,7 +104,7 @@
 // withAdjustedLimit sets the limit by the gapFactor. The limit shrinks to what the open requests have to become, and no further while
 // they have not ended; it grows only while most of it is in use: a share of it, or as many whole requests as it allows.
 func (p Pace) withAdjustedLimit() Pace {
-	factor := gapFactor(p.maxGap, p.baseGap, p.meanGap)
+	factor := gapFactor(p.targetGap, p.baseGap, p.meanGap)
 	switch {
 	case factor < 1:
 		p.limit = min(p.limit, float64(p.open)*max(minFactor, factor))
--- a/coordination/pacer/pacer_test.go
+++ b/coordination/pacer/pacer_test.go
@@ -15,13 +15,15 @@
 const (
 	base   = 18 * time.Millisecond
 	maxGap = 120 * time.Millisecond
+	// target is the mean gap to hold, as a pass that also reads prompts takes 30 ms longer.
+	target = maxGap - 30*time.Millisecond
 )
 
 // converge simulates a service whose gap between events grows with its open requests, under more demand than it admits,
 // and returns the limit and the gap at the end.
 func converge(t *testing.T, perRequest time.Duration, floor float64) (float64, time.Duration) {
 	t.Helper()
-	p := pacer.New(pacer.Bounds{Floor: floor, Ceiling: 144, MaxGap: maxGap, BaseGap: base})
+	p := pacer.New(pacer.Bounds{Floor: floor, Ceiling: 144, TargetGap: target, BaseGap: base})
 	now := time.Duration(0)
 	gap := base
 	for range 600 {
@@ -69,7 +71,7 @@
 	for n := range runners {
 		list = append(list, runner.New(fmt.Sprint(n), "pool", "127.0.0.1:1", runner.Slots(slots)))
 	}
-	service := routing.NewService("pool", 0, routing.Engine{StepTime: base / 4, StepsPerPass: 4})
+	service := routing.NewService("pool", 0, routing.Engine{StepTime: base / 4, StepsPerPass: 4, ChunkTokens: 450, PrefillRate: 60000})
 	for name, test := range map[string]struct {
 		perOpen time.Duration
 		least   float64
@@ -104,17 +106,38 @@
 	}
 }
 
+// TestLongestGapLeavesTimeToRead takes the mean gap to hold from the longest one and the engine: a pass that also reads prompts is in
+// time, too, unless it is too long by itself.
+func TestLongestGapLeavesTimeToRead(t *testing.T) {
+	engine := routing.Engine{StepTime: 4500 * time.Microsecond, StepsPerPass: 4, ChunkTokens: 512, PrefillRate: 64000}
+	slow := engine
+	slow.ChunkTokens = 2048
+	unknown := engine
+	unknown.ChunkTokens = 0
+	list := []runner.Runner{runner.New("a", "pool", "127.0.0.1:1", runner.Slots(8))}
+	for name, test := range map[string]struct {
+		engine routing.Engine
+		want   time.Duration
+	}{
+		"in time": {engine, maxGap - 32*time.Millisecond}, "too long by itself": {slow, maxGap}, "not known": {unknown, maxGap},
+	} {
+		b := pacer.BoundsFor(routing.NewService("pool", 0, test.engine), list, 1, maxGap)
+		if b.TargetGap != test.want || b.BaseGap != base {
+			t.Errorf("%s: %v and %v, want %v and %v", name, b.TargetGap, b.BaseGap, test.want, base)
+		}
+	}
+}
+
 // TestLimitWaitsForStreamsToEnd guards against a limit that shrinks on while the streams that are too many have not ended yet, so that
 // requests are refused long after they have: twice as many are open as the gaps allow, and end one after the other.
 func TestLimitWaitsForStreamsToEnd(t *testing.T) {
 	const inTime = 20
-	p := pacer.New(pacer.Bounds{Floor: 1, Start: 2 * inTime, Ceiling: 100, MaxGap: maxGap, BaseGap: base})
+	p := pacer.New(pacer.Bounds{Floor: 1, Start: 2 * inTime, Ceiling: 100, TargetGap: target, BaseGap: base})
 	for p.HasRoom() {
 		p = p.WithOpened()
 	}
 	for i := range 60 {
-		// The mean gap is held at three quarters of the longest one.
-		gap := base + time.Duration(p.Open())*(maxGap*3/4-base)/inTime
+		gap := base + time.Duration(p.Open())*(target-base)/inTime
 		for range 4 {
 			p = p.WithGap(gap, time.Duration(i+1)*200*time.Millisecond)
 		}
--- a/coordination/pacer/room.go
+++ b/coordination/pacer/room.go
@@ -49,10 +49,19 @@
 	return ready
 }
 
+// targetGap returns the mean gap between events to hold so that the longest is in time, given how long that may be: a pass that also
+// reads prompts is longer. If it is too long whatever else is open, no limit helps it, and the target is that for all other passes.
+func targetGap(e routing.Engine, longest time.Duration) time.Duration {
+	if target := longest - e.ReadTime(); target > e.PassTime() {
+		return target
+	}
+	return longest
+}
+
 // boundsOf returns the gaps of a service and the slots of each of its runners.
 func boundsOf(s routing.Service, ready readyRunners, gap time.Duration) Bounds {
 	e := s.Engine()
 	return Bounds{
-		MaxGap: gap, BaseGap: time.Duration(e.StepsPerPass) * e.StepTime, Slots: float64(ready.slots) / float64(max(1, ready.count)),
+		TargetGap: targetGap(e, gap), BaseGap: e.PassTime(), Slots: float64(ready.slots) / float64(max(1, ready.count)),
 	}
 }
--- a/state/routing/service.go
+++ b/state/routing/service.go
@@ -14,6 +14,8 @@
 	ContextTime time.Duration
 	// PrefillRate is the number of prompt tokens processed per second.
 	PrefillRate float64
+	// ChunkTokens is the most prompt tokens that are processed in one step, 0 if not known.
+	ChunkTokens int
 	// StepsPerPass is the number of steps in a pass in which requests generate tokens.
 	StepsPerPass int
 	// ExpertShare is the share, from 0 to 1, of the work for a token that experts do.
@@ -29,6 +31,17 @@
 	FormTime time.Duration
 }
 
+// PassTime returns how long a pass takes without any work in it.
+func (e Engine) PassTime() time.Duration { return time.Duration(e.StepsPerPass) * e.StepTime }
+
+// ReadTime returns by how much a pass that also reads prompts is longer, at most; 0 if that is not known.
+func (e Engine) ReadTime() time.Duration {
+	if e.PrefillRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(e.StepsPerPass*e.ChunkTokens) / e.PrefillRate * float64(time.Second))
+}
+
 // HasExperts reports whether the service's runners are ranks of groups that distribute experts among them.
 func (e Engine) HasExperts() bool { return e.Sets > 0 && e.Experts > 0 }
 
