--- a/state/routing/route.go
+++ b/state/routing/route.go
@@ -20,19 +20,18 @@
 
 // Route maps the requests for a host and path prefix to services, with their time limits and priority.
 type Route struct {
-	name          string
-	host          string
-	prefix        string
-	repeat        Repeat
-	timeout       time.Duration
-	latencyTarget time.Duration
-	maxEventGap   time.Duration
-	patience      time.Duration
-	priority      int
-	attempts      int
-	public        bool
-	resumable     bool
-	shares        []Share
+	name        string
+	host        string
+	prefix      string
+	repeat      Repeat
+	timeout     time.Duration
+	maxEventGap time.Duration
+	patience    time.Duration
+	priority    int
+	attempts    int
+	public      bool
+	resumable   bool
+	shares      []Share
 }
 
 // RouteOption sets a field of a Route under construction.
@@ -41,9 +40,6 @@
 // Timeout sets the longest time that a caller is kept waiting.
 func Timeout(d time.Duration) RouteOption { return func(r *Route) { r.timeout = d } }
 
-// LatencyTarget sets the time within which an answer, or a stream's first event, should arrive.
-func LatencyTarget(d time.Duration) RouteOption { return func(r *Route) { r.latencyTarget = d } }
-
 // MaxEventGap sets the longest time between two events of a stream that still counts as on time.
 func MaxEventGap(d time.Duration) RouteOption { return func(r *Route) { r.maxEventGap = d } }
 
@@ -87,9 +83,6 @@
 // Timeout returns the longest time that a caller is kept waiting, 0 if unbounded.
 func (r Route) Timeout() time.Duration { return r.timeout }
 
-// LatencyTarget returns the time within which an answer, or a stream's first event, should arrive, 0 if there is none.
-func (r Route) LatencyTarget() time.Duration { return r.latencyTarget }
-
 // MaxEventGap returns the longest time between two events of a stream that still counts as on time, 0 if there is no
 // such limit.
 func (r Route) MaxEventGap() time.Duration { return r.maxEventGap }
