--- a/coordination/pacer/gate.go
+++ b/coordination/pacer/gate.go
@@ -17,6 +17,8 @@
 	queue   []*waiter
 	// lastEvent is when the last event of any stream was received, 0 if there was none.
 	lastEvent time.Duration
+	// stalledUntil is when a stream last went on after a pause longer than advanceWindow, 0 if none has.
+	stalledUntil time.Duration
 }
 
 // Request asks for admission.
@@ -94,6 +96,9 @@
 func (g *Gate) RecordGap(d, now time.Duration) {
 	g.apply(func(p Pace) Pace {
 		g.lastEvent = now
+		if d >= advanceWindow {
+			g.stalledUntil = now
+		}
 		g.level = g.level.WithTarget(p.targetGap, p.baseGap).WithSlots(p.slots).WithGap(d, now)
 		return p.WithGap(d, now)
 	})
@@ -109,6 +114,13 @@
 	return g.lastEvent > 0 && now-g.lastEvent < advanceWindow
 }
 
+// HasStalled reports whether the service's streams stood still at some time since another one: one of them did, or all have since.
+func (g *Gate) HasStalled(since, now time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stalledUntil > since || g.lastEvent > 0 && g.lastEvent > since-advanceWindow && now-g.lastEvent >= advanceWindow
+}
+
 func (g *Gate) apply(with func(Pace) Pace) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/coordination/pacer/pacer_test.go
+++ b/coordination/pacer/pacer_test.go
@@ -269,6 +269,35 @@
 	}
 }
 
+// TestStallIsNotHowLongRunnersTake guards against estimates that a group which stood still for seconds makes too long: it tells answers
+// that came in such a time from those of an idle or a busy service.
+func TestStallIsNotHowLongRunnersTake(t *testing.T) {
+	const ms = time.Millisecond
+	// events holds when events of a stream come; asked is when a request is sent, and answered when its first event comes.
+	for name, test := range map[string]struct {
+		events          []time.Duration
+		asked, answered time.Duration
+		want            bool
+	}{
+		"idle":                 {nil, 10 * second, 12 * second, false},
+		"idle for long":        {[]time.Duration{second, second + 50*ms}, 10 * second, 12 * second, false},
+		"busy":                 {[]time.Duration{10 * second, 10*second + 200*ms, 10*second + 400*ms}, 10 * second, 10*second + 450*ms, false},
+		"a stream has gone on": {[]time.Duration{10 * second, 12 * second}, 10*second + 100*ms, 12 * second, true},
+		"before a stream does": {[]time.Duration{10 * second, 10*second + 50*ms}, 10*second + 100*ms, 12 * second, true},
+		"asked after it":       {[]time.Duration{10 * second, 12 * second, 12*second + 100*ms}, 12*second + 50*ms, 12*second + 200*ms, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := pacer.NewGate(pacer.New(pacer.Bounds{Floor: 1, Ceiling: 1}))
+			for i := 1; i < len(test.events); i++ {
+				g.RecordGap(test.events[i]-test.events[i-1], test.events[i])
+			}
+			if got := g.HasStalled(test.asked, test.answered); got != test.want {
+				t.Errorf("stalled: %t", got)
+			}
+		})
+	}
+}
+
 func TestGateStopsWaiting(t *testing.T) {
 	g, releases := newFullGate(t, 1)
 	release := releases[0]
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -370,15 +370,19 @@
 	}
 }
 
-// recordBegin records how long the runner took to begin its answer.
+// recordBegin records how long the runner took to begin its answer, unless all streams stood still meanwhile: that says nothing of what
+// runners take.
 func (c *call) recordBegin(now time.Duration) {
-	c.exchange.forwarder.estimates.RecordBegin(c.exchange.kind, now-c.sentAt-c.exchange.promptTime)
+	x := c.exchange
+	if !x.gate.HasStalled(c.sentAt, now) {
+		x.forwarder.estimates.RecordBegin(x.kind, now-c.sentAt-x.promptTime)
+	}
 }
 
-// recordWhole records how long the runner took for the answer if it gave all of it.
+// recordWhole records how long the runner took for the answer if it gave all of it and no stream stood still.
 func (c *call) recordWhole(now time.Duration) {
-	if c.isWhole {
-		c.exchange.forwarder.estimates.RecordWhole(c.exchange.kind, now-c.sentAt)
+	if x := c.exchange; c.isWhole && !x.gate.HasStalled(c.sentAt, now) {
+		x.forwarder.estimates.RecordWhole(x.kind, now-c.sentAt)
 	}
 }
 
