--- a/transport/forwarder/standby.go
+++ b/transport/forwarder/standby.go
@@ -18,6 +18,9 @@
 	pauseInterval = 100 * time.Millisecond
 	// acceptTime is how long after it began an attempt counts as accepted by its runner: refusals come within milliseconds.
 	acceptTime = 200 * time.Millisecond
+	// handoverTime is how long before its caller leaves a request is handed to another rank while the group stands still: until that one
+	// has accepted it and the next check of the answer has left the first.
+	handoverTime = acceptTime + 3*pauseInterval
 )
 
 // errEnded is that the request ended, or that the entry withdrew the attempt.
@@ -122,9 +125,21 @@
 // lastSign returns when the runner last gave something of the answer, or got the request.
 func (c *call) lastSign() time.Duration { return max(c.sentAt, c.headAt, c.lastEventAt) }
 
-// nextPauseCheck returns in which time the answer may count as paused.
+// nextPauseCheck returns in which time the answer, or an attempt beside it, is to be looked at again.
 func (x *exchange) nextPauseCheck() time.Duration {
-	return max(pauseInterval, x.call.lastSign()+x.silence()-x.forwarder.clock.Now())
+	now, handover := x.forwarder.clock.Now(), x.leaveAt()-handoverTime
+	if x.standby != nil || now >= handover {
+		return pauseInterval
+	}
+	return max(pauseInterval, min(x.call.lastSign()+x.silence(), handover)-now)
+}
+
+// isHandoverDue reports whether the request has to go to another rank for its sake alone: the group stands still, and the caller is
+// about to leave. The rank that admitted it cannot drop it then, and would work for nobody when the group goes on; one that gets it
+// now has not admitted it, and can.
+func (x *exchange) isHandoverDue(now time.Duration) bool {
+	_, isGroup := x.forwarder.outage(x.service)
+	return isGroup && x.access.route.IsStream() && x.call.lastEventAt == 0 && now >= x.leaveAt()-handoverTime && !x.gate.IsAdvancing(now)
 }
 
 // isPaused reports whether the runner gives nothing of the answer although it, or others of its service, give events of
@@ -151,7 +166,11 @@
 // that is lost from one that still works.
 func (x *exchange) checkPause(ctx context.Context) {
 	f, now := x.forwarder, x.forwarder.clock.Now()
-	if x.standby != nil || ctx.Err() != nil || now > x.latestStart() || !x.call.isPaused(now) || x.isDown() {
+	if x.standby != nil || ctx.Err() != nil || x.isDown() {
+		return
+	}
+	usual := x.forwarder.estimates.Work(x.kind).Begin.Mean() + x.promptTime
+	if isUseful := now+usual <= x.leaveAt() && x.call.isPaused(now); !isUseful && !x.isHandoverDue(now) {
 		return
 	}
 	before := x.dispatch
--- a/transport/forwarder/standby_test.go
+++ b/transport/forwarder/standby_test.go
@@ -161,3 +161,29 @@
 	}
 	<-done
 }
+
+// TestLateRequestIsHandedOverBeforeItsCallerLeaves guards against requests that waited for room, and that a rank of a group which then
+// stands still works on after their callers have left: there is not the time to wait for a pause.
+func TestLateRequestIsHandedOverBeforeItsCallerLeaves(t *testing.T) {
+	w := newWorld(t, 2)
+	first, second := w.runners["pool-0"], w.runners["pool-1"]
+	first.SetFault(site.FaultNoAnswer)
+	second.SetFault(site.FaultNoAnswer)
+	w.setOpen(slots)
+	start := time.Now()
+	time.AfterFunc(1200*time.Millisecond, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.open[w.address["pool-0"]], w.open[w.address["pool-1"]] = 0, slots-1
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.callWithin("/draft/x", "slip", 2500*time.Millisecond)
+	}()
+	time.Sleep(time.Until(start.Add(patience)))
+	if first.Disconnects() != 1 || len(second.Runs()) != 1 || second.Disconnects() != 0 {
+		t.Errorf("%d and %d attempts were ended, the second rank has %d", first.Disconnects(), second.Disconnects(), len(second.Runs()))
+	}
+	<-done
+}
--- a/transport/forwarder/wait.go
+++ b/transport/forwarder/wait.go
@@ -24,7 +24,8 @@
 }
 
 // latestStart returns when a runner must begin to work at the latest for the caller to get its answer: callers leave at the end of
-// the request's time, and those of streams when they got no event for long.
+// the request's time, and those of streams when they got no event for long. It leaves the time in which nearly all runners begin to
+// answer.
 func (x *exchange) latestStart() time.Duration {
 	work := x.forwarder.estimates.Work(x.kind)
 	begin := max(minWork, work.Begin.Most()+x.promptTime)
@@ -32,11 +33,16 @@
 	if x.lastEvent == 0 {
 		whole = max(begin, work.Whole.Mean())
 	}
-	latest := x.arrivedAt + x.timeout - whole
+	return min(x.arrivedAt+x.timeout-whole, x.leaveAt()-begin)
+}
+
+// leaveAt returns when the caller leaves unless it gets something of the answer before.
+func (x *exchange) leaveAt() time.Duration {
+	end := x.arrivedAt + x.timeout
 	if patience := x.access.route.Patience(); patience > 0 {
-		latest = min(latest, max(x.arrivedAt, x.lastEventAt)+patience-begin)
+		return min(end, max(x.arrivedAt, x.lastEventAt)+patience)
 	}
-	return latest
+	return end
 }
 
 // untilRefusing returns a context that ends with ctx, and when the process is about to end and refuses what it has not sent.
