--- a/coordination/estimator/book.go
+++ b/coordination/estimator/book.go
@@ -38,18 +38,18 @@
 
 // RecordBegin records the time until a runner began to answer.
 func (b *Book) RecordBegin(k Kind, d time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	w := b.work[k]
-	w.Begin = w.Begin.WithSample(max(0, d))
-	b.work[k] = w
+	b.update(k, func(w *Work) { w.Begin = w.Begin.WithSample(max(0, d)) })
 }
 
 // RecordWhole records the time until the end of a whole answer.
 func (b *Book) RecordWhole(k Kind, d time.Duration) {
+	b.update(k, func(w *Work) { w.Whole = w.Whole.WithSample(max(0, d)) })
+}
+
+func (b *Book) update(k Kind, change func(*Work)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.work[k]
-	w.Whole = w.Whole.WithSample(max(0, d))
+	change(&w)
 	b.work[k] = w
 }
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -116,7 +116,7 @@
 	if x.denied = x.denial(state, now); x.denied != nil {
 		return dispatcher.SendDenied{Reason: x.denied.reason}
 	}
-	remaining := x.timeout - (now - x.arrivedAt)
+	remaining := x.left()
 	if x.denied = x.leaving(); x.denied != nil {
 		return dispatcher.SendDenied{Reason: x.denied.reason}
 	}
@@ -153,8 +153,7 @@
 	if x.dispatch.MayHaveRun() {
 		return nil
 	}
-	now := x.forwarder.clock.Now()
-	return x.forwarder.leavingRefusal(x.access.route, now, x.timeout-(now-x.arrivedAt))
+	return x.forwarder.leavingRefusal(x.access.route, x.forwarder.clock.Now(), x.left())
 }
 
 // denial returns why the request must not be sent to a runner now, nil if it may.
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -370,22 +370,6 @@
 	}
 }
 
-// recordBegin records how long the runner took to begin its answer, unless all streams stood still meanwhile: that says nothing of what
-// runners take.
-func (c *call) recordBegin(now time.Duration) {
-	x := c.exchange
-	if !x.gate.HasStalled(c.sentAt, now) {
-		x.forwarder.estimates.RecordBegin(x.kind, now-c.sentAt-x.promptTime)
-	}
-}
-
-// recordWhole records how long the runner took for the answer if it gave all of it and no stream stood still.
-func (c *call) recordWhole(now time.Duration) {
-	if x := c.exchange; c.isWhole && !x.gate.HasStalled(c.sentAt, now) {
-		x.forwarder.estimates.RecordWhole(x.kind, now-c.sentAt)
-	}
-}
-
 // handleFailure records why an attempt gave no whole answer and returns its event: the deadline if the request is over,
 // else a failed connection, which counts against the runner. sent is whether a part of the request was written.
 func (c *call) handleFailure(ctx context.Context, err error, sent bool) dispatcher.Event {
--- a/transport/forwarder/standby.go
+++ b/transport/forwarder/standby.go
@@ -181,7 +181,7 @@
 	x.dispatch = next
 	chosen, room := x.place(ctx, now)
 	state, now := f.snapshot(), f.clock.Now()
-	remaining := x.timeout - (now - x.arrivedAt)
+	remaining := x.left()
 	isAllowed := room == roomFound && remaining > 0 && x.endTrial == nil && len(state.Held(x.parts)) == 0 &&
 		x.denial(state, now) == nil && f.retrier.Allow(x.service, action.Reason)
 	if !isAllowed {
--- a/transport/forwarder/wait.go
+++ b/transport/forwarder/wait.go
@@ -23,6 +23,22 @@
 	return 0
 }
 
+// recordBegin records how long the runner took to begin its answer, unless all streams stood still meanwhile: that says nothing of what
+// runners take.
+func (c *call) recordBegin(now time.Duration) {
+	x := c.exchange
+	if !x.gate.HasStalled(c.sentAt, now) {
+		x.forwarder.estimates.RecordBegin(x.kind, now-c.sentAt-x.promptTime)
+	}
+}
+
+// recordWhole records how long the runner took for the answer if it gave all of it and no stream stood still.
+func (c *call) recordWhole(now time.Duration) {
+	if x := c.exchange; c.isWhole && !x.gate.HasStalled(c.sentAt, now) {
+		x.forwarder.estimates.RecordWhole(x.kind, now-c.sentAt)
+	}
+}
+
 // latestStart returns when a runner must begin to work at the latest for the caller to get its answer: callers leave at the end of
 // the request's time, and those of streams when they got no event for long. It leaves the time in which nearly all runners begin to
 // answer.
