pacer, routing, forwarder: Leave room for urgent requests at runners that are asked for it

What callers saw: at the worst load of a site with 34 entries, 13 in 100 of the most urgent requests were refused and 4 in 100 of the least urgent ones, which were also served in time more often. Cause: with more than 12 entries, each request asks runners drawn at random, and nothing tells urgent requests from others there.

Requests are ordered by priority, and within one by that of the route. Waits and times to return are kept by urgency, too.

--- a/coordination/pacer/gate.go
+++ b/coordination/pacer/gate.go
@@ -10,11 +10,13 @@
 // Gate admits the requests of one service up to the limit of its Pace: by priority, and then those first that must start first. It
 // is shared by the goroutines that serve traffic, and is not part of the control state.
 type Gate struct {
-	mu      sync.Mutex
-	pace    Pace
-	level   Level
-	vacancy Vacancy
-	queue   []*waiter
+	mu    sync.Mutex
+	pace  Pace
+	level Level
+	// thresholds bound the room of each priority, and vacancies tell how soon its requests find room.
+	thresholds Thresholds
+	vacancies  map[int]Vacancy
+	queue      []*waiter
 	// lastEvent is when the last event of any stream was received, 0 if there was none.
 	lastEvent time.Duration
 	// stalledUntil is when a stream last went on after a pause longer than advanceWindow, 0 if none has.
@@ -23,7 +25,7 @@
 
 // Request asks for admission.
 type Request struct {
-	// Priority is the priority, 0 for the most urgent.
+	// Priority is the priority, lower for more urgent requests.
 	Priority int
 	// At is the time of the request, and LatestStart when it must be admitted at the latest for its caller to be served.
 	At, LatestStart time.Duration
@@ -44,7 +46,7 @@
 }
 
 // NewGate returns a gate with an empty queue that starts with the given pace.
-func NewGate(p Pace) *Gate { return &Gate{pace: p, level: NewLevel()} }
+func NewGate(p Pace) *Gate { return &Gate{pace: p, level: NewLevel(), vacancies: map[int]Vacancy{}} }
 
 // Pace returns the current pace.
 func (g *Gate) Pace() Pace {
@@ -70,25 +72,43 @@
 	return g.level
 }
 
-// RecordLoad records the share of a runner's slots that was seen in use.
-func (g *Gate) RecordLoad(share float64) {
+// RecordProbe records that a runner with a number of slots was seen with some requests open; offset is as for Level.Allowed.
+func (g *Gate) RecordProbe(open, slots int, offset float64, now time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.level = g.level.WithLoad(share)
+	g.level = g.level.WithLoad(float64(open) / float64(slots))
+	g.thresholds = g.thresholds.WithSeen(func(part float64) bool { return open >= g.level.AllowedPart(part, slots, offset) }, now)
 }
 
-// RecordSearch records that a request waited for room at runners whose load is asked for, and found it or did not.
-func (g *Gate) RecordSearch(waited time.Duration, found bool, now time.Duration) {
+// RecordSearch records that a request of a priority begins to look for room at runners whose load is asked for.
+func (g *Gate) RecordSearch(priority int, now time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.vacancy = g.vacancy.WithSearch(waited, found, now)
+	g.thresholds = g.thresholds.WithAsked(priority, now)
 }
 
-// Vacancy returns how soon requests find room at such runners.
-func (g *Gate) Vacancy() Vacancy {
+// RecordRoom records that such a request waited for room, and found it or did not.
+func (g *Gate) RecordRoom(priority int, waited time.Duration, found bool, now time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.vacancy
+	g.vacancies[priority] = g.vacancies[priority].WithSearch(waited, found, now)
+	if found {
+		g.thresholds = g.thresholds.WithServed(priority, now)
+	}
+}
+
+// Part returns the part of the room that a request of a priority may use.
+func (g *Gate) Part(priority int, now time.Duration) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.thresholds.Part(priority, now)
+}
+
+// Vacancy returns how soon requests of a priority find room at such runners.
+func (g *Gate) Vacancy(priority int) Vacancy {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.vacancies[priority]
 }
 
 // RecordGap records the gap between two events of a stream and admits the queued requests that the adapted limit
@@ -99,7 +119,7 @@
 		if d >= advanceWindow {
 			g.stalledUntil = now
 		}
-		g.level = g.level.WithTarget(p.targetGap, p.baseGap).WithSlots(p.slots).WithGap(d, now)
+		g.level = g.level.WithTarget(p.targetGap, p.baseGap).WithSlots(p.slots).WithUsable(g.thresholds.Least()).WithGap(d, now)
 		return p.WithGap(d, now)
 	})
 }
--- a/coordination/pacer/level.go
+++ b/coordination/pacer/level.go
@@ -9,14 +9,16 @@
 // all entries together, as they see what each runner has open, and needs no share of its own for each entry. It follows
 // the mean gap between events, which is the same for all runners of a group.
 type Level struct {
-	limit, load        float64
-	least              float64
+	limit, load float64
+	least       float64
+	// usable is the part of the limit that all requests may use, however urgent.
+	usable             float64
 	targetGap, baseGap time.Duration
 	gaps               gaps
 }
 
 // NewLevel returns a level at which all slots may be in use, without a target for gaps.
-func NewLevel() Level { return Level{limit: 1} }
+func NewLevel() Level { return Level{limit: 1, usable: 1} }
 
 // WithTarget returns the level with the mean gap between events to hold, 0 for none, and the gap at a runner without other work.
 func (l Level) WithTarget(targetGap, baseGap time.Duration) Level {
@@ -31,6 +33,13 @@
 	return l
 }
 
+// WithUsable returns the level of which only a part may be used by all requests. Runners are not used beyond it unless urgent requests
+// come, so that the limit grows once most of that part is in use.
+func (l Level) WithUsable(part float64) Level {
+	l.usable = part
+	return l
+}
+
 // WithLoad returns the level after a runner was seen with a share of its slots in use.
 func (l Level) WithLoad(share float64) Level {
 	l.load += loadWeight * (share - l.load)
@@ -42,8 +51,11 @@
 
 // Allowed returns how many requests a runner with a number of slots may have open. The offset, from 0 to 1, differs
 // between runners, so that their mean is the limit although each has a whole number.
-func (l Level) Allowed(slots int, offset float64) int {
-	return max(1, min(slots, int(l.limit*float64(slots)+offset)))
+func (l Level) Allowed(slots int, offset float64) int { return l.AllowedPart(1, slots, offset) }
+
+// AllowedPart returns the same for requests that may use a part of the limit only.
+func (l Level) AllowedPart(part float64, slots int, offset float64) int {
+	return max(1, min(slots, int(part*l.limit*float64(slots)+offset)))
 }
 
 // WithGap returns the level after a gap between two events of a stream, with the limit adjusted if that is due. The limit
@@ -62,7 +74,7 @@
 	switch {
 	case factor < 1:
 		l.limit = min(l.limit, l.load*max(minFactor, factor))
-	case l.load >= growthUse*l.limit:
+	case l.load >= growthUse*l.usable*l.limit:
 		l.limit = max(l.limit*min(maxFactor, factor), min(l.limit+l.least, l.limit*factor))
 	}
 	l.limit = min(max(l.limit, l.least), 1)
--- a/state/routing/service.go
+++ b/state/routing/service.go
@@ -103,3 +103,12 @@
 	}
 	return r.Priority()
 }
+
+// routePriorities is how many priorities of routes are told apart among requests of the same priority.
+const routePriorities = 100
+
+// Urgency orders the requests of accounts and routes, the most urgent first: by Priority, and among requests whose accounts have the
+// same one, by that of the route. Without the second, an account's own priority would make all of its requests equally urgent.
+func (a Account) Urgency(r Route) int {
+	return a.Priority(r)*routePriorities + min(max(r.Priority(), 0), routePriorities-1)
+}
--- a/transport/forwarder/place.go
+++ b/transport/forwarder/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/kingcupstile/kingcupstile/coordination/overseer"
@@ -46,7 +47,8 @@
 // choose does as place, but for runners that want no requests it only avoids those of which this is certain.
 func (x *exchange) choose(ctx context.Context, until time.Duration) (runner.Runner, room) {
 	f := x.forwarder
-	since := f.clock.Now()
+	since, urgency := f.clock.Now(), x.access.urgency
+	x.gate.RecordSearch(urgency, since)
 	var tried []string
 	for {
 		state, now := f.snapshot(), f.clock.Now()
@@ -78,14 +80,14 @@
 				return best, roomNone
 			}
 		case hasRoom:
-			x.gate.RecordSearch(now-since, true, now)
+			x.gate.RecordRoom(urgency, now-since, true, now)
 			f.prober.Announce(best.Address())
 			return best, roomFound
 		default:
 			// Room comes up as a pass ends, which is when events come.
 			interval := max(minProbeInterval, x.gate.Pace().MeanGap())
-			if now+max(interval, x.gate.Vacancy().Wait(now)) >= until || !pauser.Wait(ctx, interval) {
-				x.gate.RecordSearch(now-since, false, now)
+			if now+max(interval, x.gate.Vacancy(urgency).Wait(now)) >= until || !pauser.Wait(ctx, interval) {
+				x.gate.RecordRoom(urgency, now-since, false, now)
 				return best, roomFull
 			}
 		}
@@ -135,22 +137,29 @@
 	}
 	loads := x.forwarder.prober.Probe(ctx, addresses, probeWait)
 	var probed []placer.Probed
+	now := x.forwarder.clock.Now()
 	for _, r := range sample {
 		if l, answered := loads[r.Address()]; answered {
 			probed = append(probed, placer.Probed{Runner: r, Open: l.Open})
-			x.gate.RecordLoad(float64(l.Open) / float64(r.Slots()))
+			x.gate.RecordProbe(l.Open, r.Slots(), roundingOffset(r), now)
 		}
 	}
-	level := x.gate.Level()
+	level, part := x.gate.Level(), x.gate.Part(x.access.urgency, now)
 	scope := x.forwarder.scope.Tagged(map[string]string{"service": x.service})
 	scope.Gauge("level").Update(level.Limit())
+	scope.Tagged(map[string]string{"urgency": strconv.Itoa(x.access.urgency)}).Gauge("part").Update(part)
 	scope.Counter("probes").Inc(int64(len(sample)))
 	scope.Counter("probes_unanswered").Inc(int64(len(sample) - len(probed)))
 	return view.Choose(probed, request, func(r runner.Runner) int {
-		return level.Allowed(r.Slots(), float64(runner.Key(r.ID())%offsetSteps)/offsetSteps)
+		return level.AllowedPart(part, r.Slots(), roundingOffset(r))
 	})
 }
 
+// roundingOffset returns the offset, from 0 to 1, by which a runner rounds the allowed requests differently from others.
+func roundingOffset(r runner.Runner) float64 {
+	return float64(runner.Key(r.ID())%offsetSteps) / offsetSteps
+}
+
 // IsProbed reports whether the load of a service's runners is probed before each request, so that heartbeats need not carry
 // it.
 func (f *Forwarder) IsProbed(state overseer.State, service string, entries int) bool {
--- a/transport/forwarder/serve.go
+++ b/transport/forwarder/serve.go
@@ -53,6 +53,8 @@
 	account  routing.Account
 	version  uint64
 	priority int
+	// urgency orders requests that wait for room, the most urgent first.
+	urgency int
 	// maxBody is the largest body in bytes, 0 for no limit.
 	maxBody int64
 }
@@ -72,7 +74,10 @@
 	if !found {
 		return access{}, &refusal{status: http.StatusNotFound, reason: reasonNoRoute}
 	}
-	a := access{route: route, version: table.Version(), priority: route.Priority(), maxBody: table.Limits().MaxBodyBytes}
+	a := access{
+		route: route, version: table.Version(), priority: route.Priority(), urgency: routing.Account{}.Urgency(route),
+		maxBody: table.Limits().MaxBodyBytes,
+	}
 	if !table.NeedsKey(route) {
 		return a, nil
 	}
@@ -83,7 +88,7 @@
 	if !held {
 		return access{}, &refusal{status: http.StatusUnauthorized, reason: reasonKey}
 	}
-	a.account, a.priority = account, account.Priority(route)
+	a.account, a.priority, a.urgency = account, account.Priority(route), account.Urgency(route)
 	return a, nil
 }
 
@@ -167,7 +172,7 @@
 	waiting, stop := f.untilRefusing(ctx)
 	defer stop()
 	leave, entered := x.gate.Acquire(waiting, pacer.Request{
-		Priority: x.access.priority, At: now, LatestStart: x.latestStart(), Duration: f.estimates.Work(x.kind).Whole.Mean(),
+		Priority: x.access.urgency, At: now, LatestStart: x.latestStart(), Duration: f.estimates.Work(x.kind).Whole.Mean(),
 	})
 	if entered {
 		return leave, nil
--- a/transport/forwarder/wait.go
+++ b/transport/forwarder/wait.go
@@ -96,7 +96,7 @@
 	f, state := x.forwarder, x.forwarder.snapshot()
 	now := f.clock.Now()
 	if f.IsProbed(state, x.service, len(state.Heartbeats(now))+1) {
-		return x.gate.Vacancy().Wait(now)
+		return x.gate.Vacancy(x.access.urgency).Wait(now)
 	}
 	return x.gate.Pace().WaitFor(x.gate.Waiting(), f.estimates.Work(x.kind).Whole.Mean())
 }
