pacer: Learn how far the mean gap between events has to stay below the longest one

What callers saw: behind 63 entries 47 in 100 streams were late, nearly all for their first event, as they waited for room, while the longest gaps were 75 to 95 ms of 120. Cause: the mean gap to hold is the longest one less what a pass that reads prompts takes more (51 ms here). In a group of 63 ranks some rank reads a prompt in nearly every pass, so that the mean has that already.

Each entry keeps by how much the longest gaps of the last 2 to 4 s exceed the mean, and holds the mean a quarter more than that below the longest gap in time, never lower than before. Services that are not probed keep their target.

--- a/coordination/pacer/gate.go
+++ b/coordination/pacer/gate.go
@@ -119,7 +119,8 @@
 		if d >= advanceWindow {
 			g.stalledUntil = now
 		}
-		g.level = g.level.WithTarget(p.targetGap, p.baseGap).WithSlots(p.slots).WithUsable(g.thresholds.Least()).WithGap(d, now)
+		g.level = g.level.WithTarget(p.targetGap, p.baseGap).WithMaxGap(p.maxGap).WithSlots(p.slots).
+			WithUsable(g.thresholds.Least()).WithGap(d, now)
 		return p.WithGap(d, now)
 	})
 }
--- a/coordination/pacer/level.go
+++ b/coordination/pacer/level.go
@@ -14,7 +14,10 @@
 	// usable is the part of the limit that all requests may use, however urgent.
 	usable             float64
 	targetGap, baseGap time.Duration
-	gaps               gaps
+	// maxGap is the longest gap that is in time, 0 if it is not known.
+	maxGap time.Duration
+	peaks  Peaks
+	gaps   gaps
 }
 
 // NewLevel returns a level at which all slots may be in use, without a target for gaps.
@@ -26,6 +29,21 @@
 	return l
 }
 
+// WithMaxGap returns the level with the longest gap that is in time, 0 if it is not known. With it, the mean gap to hold is as much below
+// it as the longest gaps exceed the mean, but not less than the target.
+func (l Level) WithMaxGap(longest time.Duration) Level {
+	l.maxGap = longest
+	return l
+}
+
+// meanGap returns the mean gap to hold.
+func (l Level) meanGap() time.Duration {
+	if margin, known := l.peaks.Margin(); known && l.maxGap > 0 {
+		return max(l.targetGap, l.maxGap-margin)
+	}
+	return l.targetGap
+}
+
 // WithSlots returns the level for runners that each execute a number of requests at once, 0 if it is not known: one request may be
 // open at each of them in any case.
 func (l Level) WithSlots(slots float64) Level {
@@ -67,10 +85,11 @@
 	}
 	var mean time.Duration
 	var due bool
+	l.peaks = l.peaks.WithGap(d, now)
 	if l.gaps, mean, due = l.gaps.with(d, now); !due {
 		return l
 	}
-	factor := gapFactor(l.targetGap, l.baseGap, mean)
+	factor := gapFactor(l.meanGap(), l.baseGap, mean)
 	switch {
 	case factor < 1:
 		l.limit = min(l.limit, l.load*max(minFactor, factor))
--- a/coordination/pacer/pace.go
+++ b/coordination/pacer/pace.go
@@ -23,6 +23,7 @@
 	limit, floor, ceiling float64
 	slots                 float64
 	targetGap, baseGap    time.Duration
+	maxGap                time.Duration
 	open                  int
 	gaps                  gaps
 	meanGap               time.Duration
@@ -36,6 +37,8 @@
 	Slots float64
 	// TargetGap is the mean gap between events to hold; if it is 0, the limit is always the ceiling.
 	TargetGap time.Duration
+	// MaxGap is the longest gap that is in time, 0 if it is not known.
+	MaxGap time.Duration
 	// BaseGap is the gap between events of a stream at a runner without other work.
 	BaseGap time.Duration
 }
@@ -46,6 +49,7 @@
 // WithBounds returns the pace with other bounds, to which the limit is clamped.
 func (p Pace) WithBounds(b Bounds) Pace {
 	p.floor, p.ceiling, p.targetGap, p.baseGap, p.slots = b.Floor, max(b.Floor, b.Ceiling), b.TargetGap, b.BaseGap, b.Slots
+	p.maxGap = b.MaxGap
 	if p.targetGap == 0 {
 		p.limit = p.ceiling
 	}
--- a/coordination/pacer/room.go
+++ b/coordination/pacer/room.go
@@ -62,6 +62,6 @@
 func boundsOf(s routing.Service, ready readyRunners, gap time.Duration) Bounds {
 	e := s.Engine()
 	return Bounds{
-		TargetGap: targetGap(e, gap), BaseGap: e.PassTime(), Slots: float64(ready.slots) / float64(max(1, ready.count)),
+		TargetGap: targetGap(e, gap), MaxGap: gap, BaseGap: e.PassTime(), Slots: float64(ready.slots) / float64(max(1, ready.count)),
 	}
 }
