--- a/state/routing/route.go
+++ b/state/routing/route.go
@@ -97,6 +97,12 @@
 // Attempts returns the number of runners that one request may be sent to, the first included.
 func (r Route) Attempts() int { return r.attempts }
 
+// Repeat says whether a request may be executed more than once.
+func (r Route) Repeat() Repeat { return r.repeat }
+
+// Shares returns the services that the requests are split between, which the caller must not change.
+func (r Route) Shares() []Share { return r.shares }
+
 // IsPublic reports whether requests need no key.
 func (r Route) IsPublic() bool { return r.public }
 
--- a/state/routing/service.go
+++ b/state/routing/service.go
@@ -67,6 +67,9 @@
 // Engine returns the performance of the runners, the zero value for services that do not describe it.
 func (s Service) Engine() Engine { return s.engine }
 
+// DefaultMaxBodyBytes is the largest body in bytes where the configuration sets no limit.
+const DefaultMaxBodyBytes = 16 << 20
+
 // Limits bounds the size and duration of callers' requests.
 type Limits struct {
 	// MaxHeaderBytes and MaxBodyBytes are the largest sizes of a request's header and body, in bytes.
--- a/transport/forwarder/serve.go
+++ b/transport/forwarder/serve.go
@@ -20,8 +20,6 @@
 const (
 	// defaultTimeout bounds a request for which neither route nor caller sets a timeout.
 	defaultTimeout = time.Minute
-	// defaultMaxBody is the largest body in bytes where the configuration sets no limit.
-	defaultMaxBody = 16 << 20
 	// longRetryAfter is the retry delay for what takes longer, such as an unreachable store.
 	longRetryAfter = 500 * time.Millisecond
 )
@@ -209,7 +207,7 @@
 	f.refuse(w, r, left)
 }
 
-// readBody reads a request's body, of at most maxBytes or else defaultMaxBody, within the timeout and into a reservation, or returns
+// readBody reads a request's body, of at most maxBytes or else the default, within the timeout and into a reservation, or returns
 // why it is refused; one that is still arriving when all new requests are refused is refused then.
 func (f *Forwarder) readBody(
 	w http.ResponseWriter, r *http.Request, maxBytes int64, timeout time.Duration, reservation *budgeter.Reservation,
@@ -218,7 +216,7 @@
 		return nil, nil
 	}
 	if maxBytes <= 0 {
-		maxBytes = defaultMaxBody
+		maxBytes = routing.DefaultMaxBodyBytes
 	}
 	control := http.NewResponseController(w)
 	// Connections that take no deadline are those of tests, whose bodies are in memory.
