commands: Check configurations with `kingcupstile check`

A file whose top level has a member that only a configuration has is checked as one; service, account and settings files are checked as before. Values that cannot be decoded hide the other findings, which could be false without them.

--- a/cmd/kingcupstile/main.go
+++ b/cmd/kingcupstile/main.go
@@ -11,6 +11,6 @@
 func main() {
 	if err := commands.Client(os.Stdout).Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(commands.ExitCode(err))
 	}
 }
--- a/commands/check.go
+++ b/commands/check.go
@@ -19,19 +19,41 @@
 func checkCommand(out io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:      "check",
-		Usage:     "validate service, account and settings files without publishing them",
+		Usage:     "validate service, account and settings files, or configurations of the users' platform, without sending them",
 		ArgsUsage: "FILE|FOLDER…",
-		Action: func(_ context.Context, c *cli.Command) error {
-			bundle, err := parsePaths(c.Args().Slice())
-			if err != nil {
-				return err
+		Flags:     configurationFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			configurations, paths := splitPaths(c.Args().Slice(), hasConfigurationFlag(c))
+			var bundleErr error
+			if len(paths) > 0 || len(configurations) == 0 && !c.Bool(jsonFlag) {
+				bundleErr = checkBundle(out, paths, c.Bool(jsonFlag))
+			}
+			if hasConfigurationFlag(c) && bundleErr != nil {
+				bundleErr = fault.New("check", KindRejected, bundleErr)
+			}
+			if len(configurations) == 0 && !c.Bool(jsonFlag) {
+				return bundleErr
 			}
-			_, err = fmt.Fprintf(out, "ok: %d services, %d accounts\n", len(bundle.Services), len(bundle.Accounts))
-			return err
+			// The finding that counts more decides the exit code.
+			err := checkConfigurations(ctx, out, c, configurations)
+			if bundleErr != nil && fault.KindOf[Kind](err) != KindRejected {
+				return errors.Join(bundleErr, err)
+			}
+			return errors.Join(err, bundleErr)
 		},
 	}
 }
 
+// checkBundle checks service, account and settings files. Its summary is left out where the output is for scripts.
+func checkBundle(out io.Writer, paths []string, quiet bool) error {
+	bundle, err := parsePaths(paths)
+	if err != nil || quiet {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "ok: %d services, %d accounts\n", len(bundle.Services), len(bundle.Accounts))
+	return err
+}
+
 // parsePaths parses the files in paths, and the service and account files below the folders in paths. It goes on after
 // a file with mistakes, so that the error lists the mistakes in all files.
 func parsePaths(paths []string) (parser.Bundle, error) {
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -24,8 +24,28 @@
 	KindFailed Kind = "failed"
 	// KindLagging is the kind of a change that is accepted but not yet in force at every entry.
 	KindLagging Kind = "lagging"
+	// KindWarned is the kind of a check that found nothing worse than warnings, and KindRejected of one that found errors.
+	KindWarned   Kind = "warnings"
+	KindRejected Kind = "errors"
 )
 
+// exitRejected is the exit code of a check that found errors; all other failures have exitFailed.
+const (
+	exitFailed   = 1
+	exitRejected = 2
+)
+
+// ExitCode returns the exit code of a command that ended with err.
+func ExitCode(err error) int {
+	switch {
+	case err == nil:
+		return 0
+	case fault.KindOf[Kind](err) == KindRejected:
+		return exitRejected
+	}
+	return exitFailed
+}
+
 // Error reports a command that failed.
 type Error = fault.Error[Kind]
 
--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"strconv"
 	"strings"
 	"testing"
@@ -28,9 +30,8 @@
 func exit(err error) {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
 	}
-	os.Exit(0)
+	os.Exit(commands.ExitCode(err))
 }
 
 func TestScripts(t *testing.T) {
@@ -50,6 +51,7 @@
 			"call":   call,
 			"await":  await,
 			"retry":  retry,
+			"code":   code,
 		},
 	})
 }
@@ -91,6 +93,23 @@
 	}
 }
 
+// code runs a program and fails unless it ends with the exit code that is the first argument. Its output is left in stdout and stderr.
+func code(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	if err := ts.Exec(args[1], args[2:]...); err != nil {
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) {
+			ts.Fatalf("%v", err)
+		}
+		got = exit.ExitCode()
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
 // retry runs a program until it succeeds or stepTimeout has passed.
 func retry(ts *testscript.TestScript, _ bool, args []string) {
 	var err error
--- a/coordination/validator/accounts.go
+++ b/coordination/validator/accounts.go
@@ -126,7 +126,8 @@
 	}
 	switch {
 	case added > 0:
-		c.addIf(c.access.closed, EffectServed, c.after, a.KeysAt, "account %q: %d keys are accepted that were not", name, added)
+		c.addIf(c.access.closed, EffectServed, c.after, a.KeysAt, "account %q: %d of %d keys are accepted that were not",
+			name, added, len(a.Keys))
 	case before == nil && len(a.Keys) == 0:
 		c.add(EffectUnnoticed, c.after, a.At, "account %q added, which has no keys", name)
 	}
--- a/coordination/validator/validator.go
+++ b/coordination/validator/validator.go
@@ -79,7 +79,8 @@
 	return v
 }
 
-// Validate returns the findings on a configuration by itself, in the order of the file.
+// Validate returns the findings on a configuration by itself, in the order of the file. While a mistake hides values, only mistakes are
+// found.
 func (v Validator) Validate(m manifest.Manifest) []Finding {
 	c := &collector{m: m}
 	for _, mistake := range m.Mistakes() {
@@ -90,10 +91,13 @@
 			"the configuration has %d bytes without spaces; entries read no answer of the store over %d bytes and would keep the version before",
 			m.Size(), m.MaxSize())
 	}
-	c.checkRoutes()
-	c.checkServices()
-	c.checkLimits(v.memory)
-	c.checkAccounts()
+	if m.IsComplete() {
+		// Otherwise a value that is not known could be taken for one that is missing.
+		c.checkRoutes()
+		c.checkServices()
+		c.checkLimits(v.memory)
+		c.checkAccounts()
+	}
 	slices.SortStableFunc(c.findings, func(a, b Finding) int {
 		return cmp.Or(cmp.Compare(a.At.Line, b.At.Line), cmp.Compare(a.At.Column, b.At.Column))
 	})
--- a/state/manifest/manifest.go
+++ b/state/manifest/manifest.go
@@ -26,6 +26,8 @@
 type Mistake struct {
 	At   Position
 	Text string
+	// HidesValues says that the manifest lacks values because of the mistake, and has zeros for them.
+	HidesValues bool
 }
 
 // Route is a route with its positions.
@@ -179,5 +181,10 @@
 // Extras returns the members of the top level that entries do not read.
 func (m Manifest) Extras() []Extra { return m.extras }
 
+// IsComplete reports whether no mistake hides a value.
+func (m Manifest) IsComplete() bool {
+	return !slices.ContainsFunc(m.mistakes, func(m Mistake) bool { return m.HidesValues })
+}
+
 // Mistakes returns the mistakes in the order in which they were found, which the caller must not change.
 func (m Manifest) Mistakes() []Mistake { return m.mistakes }
