--- a/commands/configuration_test.go
+++ b/commands/configuration_test.go
@@ -47,7 +47,7 @@
 	s.PutRaw("config", "main", json.RawMessage(fmt.Sprintf(smallConfiguration, 7, "/a/")))
 	expect("same content", 0, "no differences")
 	before := s.Calls()
-	s.PutRaw("config", "main", json.RawMessage(fmt.Sprintf(smallConfiguration, 7, "/b/")))
+	s.PutRaw("config", "main", json.RawMessage(fmt.Sprintf(smallConfiguration, 6, "/b/")))
 	expect("other content", 1, "warning: route \"a\" for h/b/ removed")
 	if calls := s.Calls() - before; calls != 1 {
 		t.Errorf("%d calls for a check", calls)
--- a/coordination/validator/accounts.go
+++ b/coordination/validator/accounts.go
@@ -18,8 +18,11 @@
 
 func (c *comparer) compareAccess() access {
 	found := access{kept: map[string]bool{}}
-	for _, x := range []index{c.before, c.after} {
+	for i, x := range []index{c.before, c.after} {
 		for t := range x.routes {
+			if i > 0 && c.before.routes[t] != nil {
+				continue
+			}
 			b, a := c.before.find(t), c.after.find(t)
 			if !isUsable(b) || !isUsable(a) {
 				continue
--- a/coordination/validator/compare.go
+++ b/coordination/validator/compare.go
@@ -47,15 +47,15 @@
 	c.compareLimits()
 	c.compareAccounts()
 	c.compareExtras("the configuration", before.Extras(), after.Extras())
+	effects := Effects()
 	slices.SortStableFunc(c.differences, func(a, b Difference) int {
-		return cmp.Or(cmp.Compare(slices.Index(Effects(), a.Effect), slices.Index(Effects(), b.Effect)), cmp.Compare(a.File, b.File),
+		return cmp.Or(cmp.Compare(slices.Index(effects, a.Effect), slices.Index(effects, b.Effect)), cmp.Compare(a.File, b.File),
 			cmp.Compare(a.At.Line, b.At.Line), cmp.Compare(a.At.Column, b.At.Column))
 	})
 	return c.differences, compareVersions(before, after, len(c.differences) > 0)
 }
 
-// compareVersions returns the findings on the version's number. Entries ignore a version lower than the one they hold, and take another
-// content of the same version without telling the two apart.
+// compareVersions returns the findings on the version's number. Entries adopt only a version higher than the one they hold.
 func compareVersions(before, after manifest.Manifest, differ bool) []Finding {
 	f := &collector{m: after}
 	switch {
@@ -63,8 +63,9 @@
 		f.add(SeverityError, RuleVersion, after.VersionAt(), "version %d is lower than version %d in force: entries ignore it",
 			after.Version(), before.Version())
 	case after.Version() == before.Version() && differ:
-		f.add(SeverityWarning, RuleVersion, after.VersionAt(),
-			"version %d is in force with another content: entries that hold the older content count as up to date", after.Version())
+		f.add(SeverityError, RuleVersion, after.VersionAt(),
+			"version %d is in force with another content: running entries keep that one, and only those that start later use this one",
+			after.Version())
 	}
 	return f.findings
 }
--- a/coordination/validator/validator_test.go
+++ b/coordination/validator/validator_test.go
@@ -127,6 +127,7 @@
 	}
 }
 
+// TestVersions guards against a version that entries ignore and the check lets pass.
 func TestVersions(t *testing.T) {
 	before := newManifest(7, newRoute("a", "h", "/a/"))
 	for name, test := range map[string]struct {
@@ -135,7 +136,7 @@
 	}{
 		"higher":        {newManifest(8, newRoute("a", "h", "/a/")), nil},
 		"same":          {before, nil},
-		"same, differs": {newManifest(7, newRoute("b", "h", "/b/")), []string{"warning version"}},
+		"same, differs": {newManifest(7, newRoute("b", "h", "/b/")), []string{"error version"}},
 		"lower":         {newManifest(6, newRoute("a", "h", "/a/")), []string{"error version"}},
 	} {
 		if _, found := validator.Compare(before, test.after); cmp.Diff(test.want, rulesOf(found), cmpopts.EquateEmpty()) != "" {
