--- a/coordination/validator/validator.go
+++ b/coordination/validator/validator.go
@@ -184,9 +184,9 @@
 	for i, share := range r.Route.Shares() {
 		total += max(0, share.Weight)
 		switch {
-		case services[share.Service]:
 		case share.Service == "":
 			c.add(SeverityError, RuleNoService, r.SharesAt[i], "route %q names no service", r.Route.Name())
+		case services[share.Service]:
 		case share.Weight <= 0:
 			c.add(SeverityWarning, RuleUnknownService, r.SharesAt[i], "route %q names service %q with weight 0, and no such service exists",
 				r.Route.Name(), share.Service)
@@ -259,8 +259,8 @@
 	if !c.m.RequiresKeys() {
 		return
 	}
-	isClosed := slices.ContainsFunc(c.m.Routes(), func(r manifest.Route) bool { return !r.Route.IsPublic() })
-	if len(c.m.Accounts()) == 0 && isClosed {
+	hasClosed := slices.ContainsFunc(c.m.Routes(), func(r manifest.Route) bool { return !r.Route.IsPublic() })
+	if len(c.m.Accounts()) == 0 && (hasClosed || len(c.m.Routes()) == 0) {
 		c.add(SeverityWarning, RuleNoAccounts, c.m.AccountsAt(),
 			"the list of accounts is empty: nobody is let in, except on public routes; without the list no key is needed")
 	}
--- a/coordination/validator/validator_test.go
+++ b/coordination/validator/validator_test.go
@@ -110,7 +110,12 @@
 		"body": {
 			newManifest(1, one).WithLimits(manifest.Limits{Limits: routing.Limits{MaxBodyBytes: 1<<20 + 1}}), []string{"warning body-limit"},
 		},
-		"no accounts":      {newManifest(1, one).WithAccounts(at), []string{"warning no-accounts"}},
+		"no accounts":           {newManifest(1, one).WithAccounts(at), []string{"warning no-accounts"}},
+		"no accounts or routes": {newManifest(1).WithAccounts(at), []string{"note unused-service", "note unused-service", "warning no-accounts"}},
+		"nameless service": {
+			newManifest(1, newRoute("b", "h", "/b/", routing.Shares(routing.Share{Weight: 1}))).WithServices(manifest.Service{}),
+			[]string{"error no-service"},
+		},
 		"all public":       {newManifest(1, newRoute("a", "h", "/", routing.Public(true))).WithAccounts(at), []string{"note unused-service"}},
 		"no keys":          {newManifest(1, one).WithAccounts(at, newAccount("t", 1, "")), []string{"warning no-keys"}},
 		"account priority": {newManifest(1, one).WithAccounts(at, newAccount("t", 10, "k")), []string{"error priority"}},
