forwarder, standin: Test that repeated pauses cut no stream

No test had a stream that pauses more than once in an attempt, one on a route that may not be resumed, or pauses just below the two seconds after which callers leave.

Evidence: TestRepeatedPausesCutNoStream passes with -race (12 cases). With the rule of before, under which a pause ends the attempt (checkPause edited to cancel the call), all 12 cases failed with "got <nil>", which is a closed connection, as did all 10 of TestPauseEndsNoAnswer.

--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -60,6 +60,7 @@
 	onCrash       func()
 	pauseBody     string
 	pause         time.Duration
+	maxPauses     int
 	crashPart     string
 	crashes       int
 	refusals      int
@@ -110,10 +111,14 @@
 
 // PauseOnBody makes the runner pause in its answers to requests with this body: after two events of a stream, and before any
 // other answer.
-func (r *Runner) PauseOnBody(body string, pause time.Duration) {
+func (r *Runner) PauseOnBody(body string, pause time.Duration) { r.PauseOftenOnBody(body, pause, 1) }
+
+// PauseOftenOnBody does as PauseOnBody, but pauses in a stream after each second event, up to times times in one attempt. A runner that
+// runs out of memory preempts a request more than once.
+func (r *Runner) PauseOftenOnBody(body string, pause time.Duration, times int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.pauseBody, r.pause = body, pause
+	r.pauseBody, r.pause, r.maxPauses = body, pause, times
 }
 
 // CrashOnPart makes the runner crash as it begins to answer a request with this part in its prompt, unless it is the last:
@@ -276,7 +281,7 @@
 	}
 	control := http.NewResponseController(w)
 	r.mu.Lock()
-	crashed := r.crashed
+	crashed, maxPauses := r.crashed, r.maxPauses
 	r.mu.Unlock()
 	if r.crashesOn(q) {
 		w.WriteHeader(http.StatusOK)
@@ -303,7 +308,7 @@
 			r.mu.Unlock()
 		}
 		interval := r.EventInterval
-		if n == after+2 {
+		if sent := n - after; sent%2 == 0 && sent/2 <= maxPauses {
 			interval += pause
 		}
 		select {
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -88,12 +88,18 @@
 	route := routing.NewRoute("draft", "h.example", "/draft/", routing.RepeatStream, routing.Attempts(2),
 		routing.MaxEventGap(time.Second), routing.Patience(patience), routing.Timeout(5*time.Second), routing.Resumable(true),
 		routing.Shares(routing.Share{Service: "pool", Weight: 1}))
+	long := routing.NewRoute("long", "h.example", "/draft/long/", routing.RepeatStream, routing.Attempts(2),
+		routing.MaxEventGap(time.Second), routing.Patience(patience), routing.Timeout(10*time.Second), routing.Resumable(true),
+		routing.Shares(routing.Share{Service: "pool", Weight: 1}))
+	once := routing.NewRoute("once", "h.example", "/draft/once/", routing.RepeatStream, routing.Attempts(2),
+		routing.MaxEventGap(time.Second), routing.Patience(patience), routing.Timeout(10*time.Second),
+		routing.Shares(routing.Share{Service: "pool", Weight: 1}))
 	look := routing.NewRoute("look", "h.example", "/look/", routing.RepeatSafe, routing.Attempts(2),
 		routing.Timeout(5*time.Second), routing.Shares(routing.Share{Service: "pool", Weight: 1}))
 	file := routing.NewRoute("file", "h.example", "/file/", routing.RepeatUnsafe, routing.Attempts(2),
 		routing.Timeout(5*time.Second), routing.Shares(routing.Share{Service: "pool", Weight: 1}))
 	service := routing.NewService("pool", 0, routing.Engine{Slots: slots, Sets: 2, Experts: 8, StepTime: time.Millisecond, StepsPerPass: 4})
-	w.apply(overseer.ConfigReceived{RequestedAt: w.Now(), Table: routing.NewTable(version, routing.Routes(route, look, file),
+	w.apply(overseer.ConfigReceived{RequestedAt: w.Now(), Table: routing.NewTable(version, routing.Routes(route, long, once, look, file),
 		routing.Services(service), routing.RequireKeys(), routing.Keys(routing.NewAccount("account-1"), keys...))})
 }
 
--- a/transport/forwarder/standby_test.go
+++ b/transport/forwarder/standby_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -21,7 +22,7 @@
 	ctx, stop := context.WithCancel(w.t.Context())
 	var others sync.WaitGroup
 	others.Go(func() {
-		for ctx.Err() == nil && path == "/draft/x" {
+		for ctx.Err() == nil && strings.HasPrefix(path, "/draft/") {
 			w.call()
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -76,6 +77,42 @@
 	}
 }
 
+// TestRepeatedPausesCutNoStream guards against entries that cut a stream whose runner preempts it several times, whether or not another
+// attempt is allowed: callers wait longer than each of the pauses.
+func TestRepeatedPausesCutNoStream(t *testing.T) {
+	const pausesPerAttempt = 3
+	for name, test := range map[string]struct {
+		path    string
+		budget  int
+		maxRuns int
+	}{
+		"resumable":                      {"/draft/long/x", retrier.DefaultBurst, 2},
+		"resumable without a budget":     {"/draft/long/x", 0, 1},
+		"not resumable":                  {"/draft/once/x", retrier.DefaultBurst, 1},
+		"not resumable without a budget": {"/draft/once/x", 0, 1},
+	} {
+		for _, pause := range []time.Duration{500 * time.Millisecond, 1100 * time.Millisecond, 1900 * time.Millisecond} {
+			t.Run(name+" "+pause.String(), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, 2)
+				w.forwarder = forwarder.New(w.snapshot, w, platform.Dialect{}, forwarder.Probes(w),
+					forwarder.Retries(retrier.New(retrier.Burst(test.budget)), 0))
+				for _, r := range w.runners {
+					r.Events = 2 * pausesPerAttempt
+					r.PauseOftenOnBody("paused", pause, pausesPerAttempt)
+				}
+				a, _ := w.callBeside(test.path)
+				if a == nil || a.Code != http.StatusOK || strings.Count(a.Body.String(), "data: ") != 2*pausesPerAttempt {
+					t.Errorf("got %+v", a)
+				}
+				if runs := w.runsOf("paused"); runs > test.maxRuns {
+					t.Errorf("the request ran %d times, at most %d are allowed", runs, test.maxRuns)
+				}
+			})
+		}
+	}
+}
+
 // TestAnotherRunnerAnswersInAPause has one runner give nothing for long: another one gives the rest before callers leave.
 func TestAnotherRunnerAnswersInAPause(t *testing.T) {
 	for path, want := range map[string]string{"/draft/x": wholeStream(), "/look/x": "answer of pool-1\n"} {
