commands: Test SIGHUP in a pause of a stream

TestHangupCutsNoRequest sends its signals while the events of the stream come evenly. No test had SIGHUP, or a change of the settings, while the runner pauses.

--- a/commands/hangup_test.go
+++ b/commands/hangup_test.go
@@ -1,8 +1,10 @@
 package commands_test
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -22,7 +25,13 @@
 // callers. Its one runner answers with a stream of signalLines events, 50 ms apart.
 func startPlatformEntry(t *testing.T, output io.Writer) (command *exec.Cmd, address string) {
 	t.Helper()
-	r := site.NewRunner("pool-a")
+	command, address, _ = startPlatformEntryBefore(t, site.NewRunner("pool-a"), output)
+	return command, address
+}
+
+// startPlatformEntryBefore does as startPlatformEntry with a runner named pool-a, and also returns the file with the settings.
+func startPlatformEntryBefore(t *testing.T, r *site.Runner, output io.Writer) (command *exec.Cmd, address, file string) {
+	t.Helper()
 	r.Events, r.EventInterval = signalLines, 50*time.Millisecond
 	engine, store := httptest.NewServer(r), site.NewStore()
 	t.Cleanup(engine.Close)
@@ -47,7 +56,7 @@
 		"grace": "8s", "retries": 0.2, "slack": 10,
 	})
 	check(t, err)
-	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	file = filepath.Join(t.TempDir(), "settings.jsonc")
 	check(t, os.WriteFile(file, settings, 0o600))
 	self, err := os.Executable()
 	check(t, err)
@@ -55,7 +64,7 @@
 	command.Args, command.Stderr = []string{"kingcupstiled", "serve", "--settings", file}, output
 	check(t, command.Start())
 	awaitStatus(t, "http://"+loopback(base+1)+"/kingcupstile/readyz", http.StatusOK)
-	return command, loopback(base)
+	return command, loopback(base), file
 }
 
 func awaitStatus(t *testing.T, url string, want int) {
@@ -74,10 +83,17 @@
 // draftAtEntry requests a stream, calls onFirst at its first byte and returns how many events came.
 func draftAtEntry(t *testing.T, address string, onFirst func()) (int, error) {
 	t.Helper()
-	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/draft/x", strings.NewReader("slip"))
-	check(t, err)
+	return draftWith(t.Context(), address, "slip", onFirst)
+}
+
+// draftWith does as draftAtEntry for a request with some body; it may be called by any goroutine.
+func draftWith(ctx context.Context, address, body string, onFirst func()) (int, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/draft/x", strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
 	r.Host = "h.example"
-	r.Header.Set("X-Request-Id", "request-1")
+	r.Header.Set("X-Request-Id", "request-"+body)
 	a, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, err
@@ -132,6 +148,52 @@
 	}
 }
 
+// TestHangupInAPauseCutsNoStream guards against entries that cut a stream which its runner preempts, for the pause or for a SIGHUP
+// in it after a change of the settings, while streams of other requests advance.
+func TestHangupInAPauseCutsNoStream(t *testing.T) {
+	const pause = 1700 * time.Millisecond
+	for name, signals := range map[string][]syscall.Signal{
+		"serving":  {syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP},
+		"draining": {syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := site.NewRunner("pool-a")
+			r.PauseOftenOnBody("paused", pause, 1)
+			command, address, file := startPlatformEntryBefore(t, r, nil)
+			settings, err := os.ReadFile(file)
+			check(t, err)
+			others, stop := context.WithCancel(t.Context())
+			var wait sync.WaitGroup
+			for n := range 2 {
+				wait.Go(func() {
+					for others.Err() == nil {
+						_, _ = draftWith(others, address, fmt.Sprint("other-", n), func() {})
+					}
+				})
+			}
+			events, err := draftWith(t.Context(), address, "paused", func() {
+				// The pause begins 50 ms after the first event, and the signals come at 400, 800 and 1,200 ms of it.
+				time.Sleep(50 * time.Millisecond)
+				for n, s := range signals {
+					time.Sleep(400 * time.Millisecond)
+					changed := strings.Replace(string(settings), `"slack":10`, fmt.Sprintf(`"slack":%d`, 11+n), 1)
+					check(t, os.WriteFile(file, []byte(changed), 0o600))
+					check(t, command.Process.Signal(s))
+				}
+			})
+			if err != nil || events != signalLines {
+				t.Errorf("%d events, %v", events, err)
+			}
+			stop()
+			wait.Wait()
+			if !slices.Contains(signals, syscall.SIGTERM) {
+				check(t, command.Process.Signal(syscall.SIGTERM))
+			}
+			check(t, command.Wait())
+		})
+	}
+}
+
 // TestClosedOutputEndsNoDaemon guards against daemons that SIGPIPE ends once nobody reads their log.
 func TestClosedOutputEndsNoDaemon(t *testing.T) {
 	reader, writer, err := os.Pipe()
