gateway: Test versions that take all keys away, and restarts without the store

TestTenantsWithoutAKeyLetNobodyIn checks how one version is read. No test had an entry go from one such version to the next, or start anew while the store is unreachable.

--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -80,7 +81,7 @@
 func newDeploymentWith(t *testing.T, grace time.Duration, goal int) *deployment {
 	t.Helper()
 	d := &deployment{
-		t: t, goal: goal, store: site.NewStore(), runners: map[string]*site.Runner{}, addresses: map[string]string{}, ended: make(chan error, 1),
+		t: t, goal: goal, store: site.NewStore(), runners: map[string]*site.Runner{}, addresses: map[string]string{},
 	}
 	server := httptest.NewServer(d.store)
 	t.Cleanup(server.Close)
@@ -100,6 +101,12 @@
 }
 
 func (d *deployment) start() {
+	d.launch()
+	d.await("ready", func() bool { return d.status("http://"+d.settings.Ready+"/kingcupstile/readyz") == http.StatusOK })
+}
+
+// launch starts the entry and does not wait until it is ready.
+func (d *deployment) launch() {
 	log := slog.New(slog.DiscardHandler)
 	client, codec := platform.NewClient(d.settings.Store), translator.PeerCodec{}
 	var stop context.Context
@@ -109,14 +116,27 @@
 		Registry: platform.EntryRegistry(client, codec), Dialect: platform.Dialect{}, Clock: timekeeper.Clock{},
 		Lookup: platform.Lookup(time.Second), Ready: platform.Ready,
 	}, log)
-	go func() { d.ended <- g.Run(stop) }()
+	ended := make(chan error, 1)
+	d.ended = ended
+	go func() { ended <- g.Run(stop) }()
 	d.t.Cleanup(func() {
 		d.stop()
-		if err := <-d.ended; err != nil {
+		if err := <-ended; err != nil {
 			d.t.Error(err)
 		}
 	})
-	d.await("ready", func() bool { return d.status("http://"+d.settings.Ready+"/kingcupstile/readyz") == http.StatusOK })
+}
+
+// restart ends the entry and starts it anew, without waiting until it is ready.
+func (d *deployment) restart() {
+	d.t.Helper()
+	d.stop()
+	if err := <-d.ended; err != nil {
+		d.t.Fatal(err)
+	}
+	// The cleanup of the first start receives once more.
+	d.ended <- nil
+	d.launch()
 }
 
 // add starts a runner, arranged by functions, and registers it.
@@ -145,6 +165,11 @@
 
 // configure writes a configuration whose account has the given keys.
 func (d *deployment) configure(keys ...string) {
+	d.configureWith(map[string]any{"tenants": []any{map[string]any{"name": "account-1", "apiKeys": keys, "priority": 2}}})
+}
+
+// configureWith writes a configuration without accounts and with some more fields.
+func (d *deployment) configureWith(fields map[string]any) {
 	d.version += 3
 	route := func(name, prefix, kind, service string, resumable bool) map[string]any {
 		return map[string]any{
@@ -152,7 +177,7 @@
 			"service": service, "attempts": 2, "resumable": resumable, "gapTargetMs": 120,
 		}
 	}
-	d.store.Put("config", "main", map[string]any{
+	spec := map[string]any{
 		"version": d.version,
 		"routes": []any{
 			route("draft", "/draft/", "streaming", "pool", true), route("once", "/draft/once/", "streaming", "pool", false),
@@ -162,9 +187,10 @@
 			map[string]any{"name": "pool", "maxConns": 100, "engine": map[string]any{"slots": 4, "stride": 4, "step_ms": 1}},
 			map[string]any{"name": "desk", "maxConns": 100},
 		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1024, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "account-1", "apiKeys": keys, "priority": 2}},
-	})
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1024, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}
+	maps.Copy(spec, fields)
+	d.store.Put("config", "main", spec)
 }
 
 func (d *deployment) await(what string, done func() bool) {
