forwarder, standin: Take no comment for a sign that one of two attempts answers

What callers see: a stream of a sound runner that pauses is closed in the middle, if the runner that is asked beside it sends a comment and then fails. And a stream whose runner stalls but sends comments stays without events, although another runner was about to go on with it.

Cause: the first of two attempts that gives anything goes on alone, and a comment counted. A comment says nothing of the answer: isPaused, which begins the other attempt, leaves comments out already.

Change: a comment ends neither attempt. Those of the attempt beside the current one are left out; those of the current one reach the caller as before. As a comment may now send the head while the other attempt holds its own back, that one is dropped, and an answer that is no stream then counts as failed.

--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -35,6 +35,9 @@
 	FaultUnframedTorn Fault = "unframed-torn"
 )
 
+// commentInterval is the time between two comments in a pause, and after one in place of an answer.
+const commentInterval = 100 * time.Millisecond
+
 // Run records a request that a runner accepted.
 type Run struct {
 	Method, Target, Body string
@@ -61,6 +64,11 @@
 	pauseBody     string
 	pause         time.Duration
 	maxPauses     int
+	comments      bool
+	commentBody   string
+	commentsAfter time.Duration
+	delayBody     string
+	delay         time.Duration
 	crashPart     string
 	crashes       int
 	refusals      int
@@ -121,6 +129,28 @@
 	r.pauseBody, r.pause, r.maxPauses = body, pause, times
 }
 
+// CommentInPauses makes the runner send comments while it pauses in a stream, as servers do to keep connections open. The first one comes
+// some time into the pause.
+func (r *Runner) CommentInPauses(after time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.comments, r.commentsAfter = true, after
+}
+
+// FailAfterCommentOnBody makes the runner send a comment in place of the stream for requests with this body, and then reset the connection.
+func (r *Runner) FailAfterCommentOnBody(body string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.commentBody = body
+}
+
+// DelayOnBody makes the runner pause between the head of its answer to a request with this body and the first event of the stream.
+func (r *Runner) DelayOnBody(body string, delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delayBody, r.delay = body, delay
+}
+
 // CrashOnPart makes the runner crash as it begins to answer a request with this part in its prompt, unless it is the last:
 // the connections of all streams end at once.
 func (r *Runner) CrashOnPart(part string) {
@@ -226,7 +256,7 @@
 	case fault == FaultError:
 		w.WriteHeader(http.StatusInternalServerError)
 	case strings.HasPrefix(q.URL.Path, "/draft/"):
-		r.stream(w, q, fault, crashesLate, pause)
+		r.stream(w, q, string(body), fault, crashesLate, pause)
 	default:
 		time.Sleep(pause)
 		r.whole(w, q, fault)
@@ -273,7 +303,9 @@
 	_, _ = io.WriteString(w, text)
 }
 
-func (r *Runner) stream(w http.ResponseWriter, q *http.Request, fault Fault, crashesLate bool, pause time.Duration) {
+func (r *Runner) stream(
+	w http.ResponseWriter, q *http.Request, body string, fault Fault, crashesLate bool, pause time.Duration,
+) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	after, err := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	if err != nil {
@@ -283,16 +315,10 @@
 	r.mu.Lock()
 	crashed, maxPauses := r.crashed, r.maxPauses
 	r.mu.Unlock()
-	if r.crashesOn(q) {
-		w.WriteHeader(http.StatusOK)
-		_ = control.Flush()
-		r.crash(control)
-		return
-	}
-	if fault == FaultUnframed || fault == FaultUnframedTorn {
-		r.streamUnframed(q, control, after, fault)
+	if r.failEarly(w, q, control, body, after, fault) {
 		return
 	}
+	r.delayFirstEvent(w, q, control, body)
 	for n := after + 1; n <= r.Events; n++ {
 		if fault == FaultTruncated && n == after+3 {
 			r.truncate(control, n)
@@ -310,6 +336,7 @@
 		interval := r.EventInterval
 		if sent := n - after; sent%2 == 0 && sent/2 <= maxPauses {
 			interval += pause
+			interval -= r.commentFor(w, q, control, interval)
 		}
 		select {
 		case <-time.After(interval):
@@ -323,6 +350,68 @@
 	}
 }
 
+// failEarly fails the stream before its first event, or answers it without chunks, and reports whether it did.
+func (r *Runner) failEarly(
+	w http.ResponseWriter, q *http.Request, control *http.ResponseController, body string, after int, fault Fault,
+) bool {
+	r.mu.Lock()
+	failsAfterComment := r.commentBody != "" && r.commentBody == body
+	r.mu.Unlock()
+	switch {
+	case r.crashesOn(q):
+		w.WriteHeader(http.StatusOK)
+		_ = control.Flush()
+		r.crash(control)
+	case failsAfterComment:
+		r.comment(w, control)
+		time.Sleep(commentInterval)
+		r.crash(control)
+	case fault == FaultUnframed || fault == FaultUnframedTorn:
+		r.streamUnframed(q, control, after, fault)
+	default:
+		return false
+	}
+	return true
+}
+
+// delayFirstEvent sends the head of a stream and pauses, if the runner is to for this body.
+func (r *Runner) delayFirstEvent(w http.ResponseWriter, q *http.Request, control *http.ResponseController, body string) {
+	r.mu.Lock()
+	delays, delay := r.delayBody != "" && r.delayBody == body, r.delay
+	r.mu.Unlock()
+	if !delays {
+		return
+	}
+	_ = control.Flush()
+	delay -= r.commentFor(w, q, control, delay)
+	select {
+	case <-time.After(delay):
+	case <-q.Context().Done():
+	}
+}
+
+// commentFor sends comments in a pause if the runner is to, and returns how long it took.
+func (r *Runner) commentFor(w http.ResponseWriter, q *http.Request, control *http.ResponseController, pause time.Duration) time.Duration {
+	r.mu.Lock()
+	comments, took := r.comments, r.commentsAfter
+	r.mu.Unlock()
+	if !comments || took > pause {
+		return 0
+	}
+	time.Sleep(took)
+	for ; took+commentInterval < pause && q.Context().Err() == nil; took += commentInterval {
+		r.comment(w, control)
+		time.Sleep(commentInterval)
+	}
+	return took
+}
+
+// comment sends a comment in a stream.
+func (r *Runner) comment(w http.ResponseWriter, control *http.ResponseController) {
+	_, _ = io.WriteString(w, ": still here\n\n")
+	_ = control.Flush()
+}
+
 // streamUnframed answers with a stream that has neither a length nor chunks, and ends with its connection.
 func (r *Runner) streamUnframed(q *http.Request, control *http.ResponseController, after int, fault Fault) {
 	connection, buffered, err := control.Hijack()
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -85,6 +85,11 @@
 }
 
 func (w *world) configure(version uint64, keys ...string) {
+	w.configureEngine(version, routing.Engine{Slots: slots, Sets: 2, Experts: 8, StepTime: time.Millisecond, StepsPerPass: 4}, keys...)
+}
+
+// configureEngine configures runners of some kind; those with experts are ranks of a group.
+func (w *world) configureEngine(version uint64, engine routing.Engine, keys ...string) {
 	route := routing.NewRoute("draft", "h.example", "/draft/", routing.RepeatStream, routing.Attempts(2),
 		routing.MaxEventGap(time.Second), routing.Patience(patience), routing.Timeout(5*time.Second), routing.Resumable(true),
 		routing.Shares(routing.Share{Service: "pool", Weight: 1}))
@@ -98,7 +103,7 @@
 		routing.Timeout(5*time.Second), routing.Shares(routing.Share{Service: "pool", Weight: 1}))
 	file := routing.NewRoute("file", "h.example", "/file/", routing.RepeatUnsafe, routing.Attempts(2),
 		routing.Timeout(5*time.Second), routing.Shares(routing.Share{Service: "pool", Weight: 1}))
-	service := routing.NewService("pool", 0, routing.Engine{Slots: slots, Sets: 2, Experts: 8, StepTime: time.Millisecond, StepsPerPass: 4})
+	service := routing.NewService("pool", 0, engine)
 	w.apply(overseer.ConfigReceived{RequestedAt: w.Now(), Table: routing.NewTable(version, routing.Routes(route, long, once, look, file),
 		routing.Services(service), routing.RequireKeys(), routing.Keys(routing.NewAccount("account-1"), keys...))})
 }
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -54,6 +54,8 @@
 	pending *attempt.Frame
 	// lastFrameDue is whether the next frame is the one that ends the answer.
 	lastFrameDue bool
+	// gaveComment is whether the last thing that the runner gave was a comment.
+	gaveComment bool
 	// isWhole is whether the answer is to be given from its beginning.
 	isWhole bool
 	// sentAt is when the attempt began, headAt when the head of a streamed answer was received, and lastEventAt when the last
@@ -251,6 +253,9 @@
 	if err != nil {
 		return c.handleFailure(ctx, err, true)
 	}
+	if c.exchange.dispatch.NextOffset() > 0 {
+		return c.handleFailure(ctx, errors.New("cannot resume the stream: answer is not an event stream, and another has begun"), true)
+	}
 	answer := c.connection.Answer() //nolint:bodyclose // closing the exchange closes the body
 	header := c.exchange.forwarder.dialect.ResponseHeader(answer.Header)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
@@ -303,7 +308,11 @@
 // handleEvent returns the event of the next frame of a stream, nil if there is none as the frame was forwarded before.
 func (c *call) handleEvent(ctx context.Context, e eventer.Event, err error) dispatcher.Event {
 	next := c.exchange.dispatch.NextOffset()
+	c.gaveComment = err == nil && !e.HasFields
 	switch {
+	case c.gaveComment && c == c.exchange.standby:
+		// The caller gets comments of the current attempt only.
+		return nil
 	case fault.KindOf[eventer.Kind](err) == eventer.KindEnd:
 		c.recordWhole(c.exchange.forwarder.clock.Now())
 		c.lastFrameDue = true
@@ -327,7 +336,9 @@
 // releaseHead returns the head if it is held back, and keeps the frame for the next call of next; else it returns the
 // frame.
 func (c *call) releaseHead(next uint64, f attempt.Frame) dispatcher.Event {
-	if c.head == nil {
+	if c.head == nil || next > 0 {
+		// With a comment, the caller may have got the head of another attempt meanwhile.
+		c.head = nil
 		return dispatcher.FrameReceived{Frame: f}
 	}
 	head := c.head.WithOffset(next)
--- a/transport/forwarder/standby.go
+++ b/transport/forwarder/standby.go
@@ -27,7 +27,7 @@
 var errEnded = errors.New("the request ended or was withdrawn before the runner's answer was complete")
 
 // await returns the event of the next frame of the answer, or of the failure of all attempts under way. If the answer pauses,
-// another attempt begins beside the current one; whichever gives something first goes on alone.
+// another attempt begins beside the current one; whichever gives more than a comment first goes on alone.
 func (x *exchange) await(ctx context.Context) dispatcher.Event {
 	if event := x.call.due(); event != nil {
 		return event
@@ -62,14 +62,15 @@
 	}
 }
 
-// ofCurrent returns an event of the current attempt, and ends the standby if there is one. If the current attempt failed, the
-// standby takes its place instead, and there is no event.
+// ofCurrent returns an event of the current attempt, and ends the standby if there is one, but not for a comment, which runners that stall
+// give, too. If the current attempt failed, the standby takes its place instead, and there is no event.
 func (x *exchange) ofCurrent(event dispatcher.Event) dispatcher.Event {
 	switch {
 	case event == nil || x.standby == nil:
 	case isFailure(event):
 		x.promote("current-failed")
 		return nil
+	case x.call.gaveComment:
 	default:
 		x.countStandby("closed")
 		x.standby.close()
--- a/transport/forwarder/standby_test.go
+++ b/transport/forwarder/standby_test.go
@@ -9,9 +9,12 @@
 	"testing"
 	"time"
 
+	"github.com/kingcupstile/kingcupstile/coordination/overseer"
 	"github.com/kingcupstile/kingcupstile/coordination/retrier"
 	"github.com/kingcupstile/kingcupstile/platform"
 	"github.com/kingcupstile/kingcupstile/standin/site"
+	"github.com/kingcupstile/kingcupstile/state/routing"
+	"github.com/kingcupstile/kingcupstile/state/runner"
 	"github.com/kingcupstile/kingcupstile/transport/forwarder"
 )
 
@@ -132,6 +135,67 @@
 	}
 }
 
+// TestCommentsDecideNoAnswer guards against entries that take a comment for a sign that one of two attempts answers, and end the other one:
+// a runner that stalls may send comments, and one that fails may have sent some before.
+func TestCommentsDecideNoAnswer(t *testing.T) {
+	t.Run("of the other runner before it fails", func(t *testing.T) {
+		t.Parallel()
+		w := newWorld(t, 2)
+		w.runners["pool-0"].PauseOnBody("paused", 1100*time.Millisecond)
+		w.runners["pool-1"].FailAfterCommentOnBody("paused")
+		w.open[w.address["pool-1"]] = slots - 1
+		a, _ := w.callBeside("/draft/x")
+		if a == nil || a.Body.String() != wholeStream() {
+			t.Errorf("got %+v", a)
+		}
+		if runs := w.runsOf("paused"); runs != 2 {
+			t.Errorf("the request ran %d times, want 2", runs)
+		}
+	})
+	t.Run("of the runner that pauses", func(t *testing.T) {
+		t.Parallel()
+		w := newWorld(t, 2)
+		first, second := w.runners["pool-0"], w.runners["pool-1"]
+		first.CommentInPauses(0)
+		first.PauseOnBody("paused", 2500*time.Millisecond)
+		second.DelayOnBody("paused", 300*time.Millisecond)
+		w.open[w.address["pool-1"]] = slots - 1
+		a, took := w.callBeside("/draft/x")
+		if a == nil || strings.ReplaceAll(a.Body.String(), ": still here\n\n", "") != wholeStream() || took > 1500*time.Millisecond {
+			t.Errorf("got %+v after %v", a, took)
+		}
+	})
+	t.Run("before the first event", func(t *testing.T) {
+		t.Parallel()
+		w := newWorld(t, 2)
+		w.configureEngine(2, routing.Engine{Slots: slots, StepTime: time.Millisecond, StepsPerPass: 4}, key)
+		first, second := w.runners["pool-0"], w.runners["pool-1"]
+		first.CommentInPauses(time.Second)
+		first.DelayOnBody("paused", 3*time.Second)
+		second.DelayOnBody("paused", 1300*time.Millisecond)
+		// It becomes known how long runners take, and the second one is registered once the request is at the first.
+		for range 5 {
+			w.call()
+		}
+		list := []runner.Runner{
+			runner.New("pool-0", "pool", w.address["pool-0"], runner.Centre("z"), runner.Slots(slots)),
+			runner.New("pool-1", "pool", w.address["pool-1"], runner.Centre("z"), runner.Slots(slots)),
+		}
+		w.apply(overseer.RunnersListed{At: w.Now(), Runners: list[:1]})
+		time.AfterFunc(300*time.Millisecond, func() { w.apply(overseer.RunnersListed{At: w.Now(), Runners: list}) })
+		a, took := w.callBeside("/draft/x")
+		if a == nil || strings.ReplaceAll(a.Body.String(), ": still here\n\n", "") != wholeStream() || took > 2700*time.Millisecond {
+			t.Errorf("got %+v after %v", a, took)
+		}
+		if a != nil && a.Header().Get("X-Server-Seal") != "seal-of-pool-0" {
+			t.Errorf("the head of the second runner was written, with the seal %q", a.Header().Get("X-Server-Seal"))
+		}
+		if runs := w.runsOf("paused"); runs != 2 {
+			t.Errorf("the request ran %d times, want 2", runs)
+		}
+	})
+}
+
 // runsOf returns how many runners a request with some body reached.
 func (w *world) runsOf(body string) int {
 	runs := 0
