--- a/transport/forwarder/standby_test.go
+++ b/transport/forwarder/standby_test.go
@@ -4,13 +4,17 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/kingcupstile/kingcupstile/coordination/overseer"
 	"github.com/kingcupstile/kingcupstile/coordination/retrier"
 	"github.com/kingcupstile/kingcupstile/platform"
 	"github.com/kingcupstile/kingcupstile/standin/site"
+	"github.com/kingcupstile/kingcupstile/state/routing"
+	"github.com/kingcupstile/kingcupstile/state/runner"
 	"github.com/kingcupstile/kingcupstile/transport/forwarder"
 )
 
@@ -21,7 +25,7 @@
 	ctx, stop := context.WithCancel(w.t.Context())
 	var others sync.WaitGroup
 	others.Go(func() {
-		for ctx.Err() == nil && path == "/draft/x" {
+		for ctx.Err() == nil && strings.HasPrefix(path, "/draft/") {
 			w.call()
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -76,6 +80,42 @@
 	}
 }
 
+// TestRepeatedPausesCutNoStream guards against entries that cut a stream whose runner preempts it several times, whether or not another
+// attempt is allowed: callers wait longer than each of the pauses.
+func TestRepeatedPausesCutNoStream(t *testing.T) {
+	const pausesPerAttempt = 3
+	for name, test := range map[string]struct {
+		path    string
+		budget  int
+		maxRuns int
+	}{
+		"resumable":                      {"/draft/long/x", retrier.DefaultBurst, 2},
+		"resumable without a budget":     {"/draft/long/x", 0, 1},
+		"not resumable":                  {"/draft/once/x", retrier.DefaultBurst, 1},
+		"not resumable without a budget": {"/draft/once/x", 0, 1},
+	} {
+		for _, pause := range []time.Duration{500 * time.Millisecond, 1100 * time.Millisecond, 1900 * time.Millisecond} {
+			t.Run(name+" "+pause.String(), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, 2)
+				w.forwarder = forwarder.New(w.snapshot, w, platform.Dialect{}, forwarder.Probes(w),
+					forwarder.Retries(retrier.New(retrier.Burst(test.budget)), 0))
+				for _, r := range w.runners {
+					r.Events = 2 * pausesPerAttempt
+					r.PauseOftenOnBody("paused", pause, pausesPerAttempt)
+				}
+				a, _ := w.callBeside(test.path)
+				if a == nil || a.Code != http.StatusOK || strings.Count(a.Body.String(), "data: ") != 2*pausesPerAttempt {
+					t.Errorf("got %+v", a)
+				}
+				if runs := w.runsOf("paused"); runs > test.maxRuns {
+					t.Errorf("the request ran %d times, at most %d are allowed", runs, test.maxRuns)
+				}
+			})
+		}
+	}
+}
+
 // TestAnotherRunnerAnswersInAPause has one runner give nothing for long: another one gives the rest before callers leave.
 func TestAnotherRunnerAnswersInAPause(t *testing.T) {
 	for path, want := range map[string]string{"/draft/x": wholeStream(), "/look/x": "answer of pool-1\n"} {
@@ -95,6 +135,67 @@
 	}
 }
 
+// TestCommentsDecideNoAnswer guards against entries that take a comment for a sign that one of two attempts answers, and end the other one:
+// a runner that stalls may send comments, and one that fails may have sent some before.
+func TestCommentsDecideNoAnswer(t *testing.T) {
+	t.Run("of the other runner before it fails", func(t *testing.T) {
+		t.Parallel()
+		w := newWorld(t, 2)
+		w.runners["pool-0"].PauseOnBody("paused", 1100*time.Millisecond)
+		w.runners["pool-1"].FailAfterCommentOnBody("paused")
+		w.open[w.address["pool-1"]] = slots - 1
+		a, _ := w.callBeside("/draft/x")
+		if a == nil || a.Body.String() != wholeStream() {
+			t.Errorf("got %+v", a)
+		}
+		if runs := w.runsOf("paused"); runs != 2 {
+			t.Errorf("the request ran %d times, want 2", runs)
+		}
+	})
+	t.Run("of the runner that pauses", func(t *testing.T) {
+		t.Parallel()
+		w := newWorld(t, 2)
+		first, second := w.runners["pool-0"], w.runners["pool-1"]
+		first.CommentInPauses(0)
+		first.PauseOnBody("paused", 2500*time.Millisecond)
+		second.DelayOnBody("paused", 300*time.Millisecond)
+		w.open[w.address["pool-1"]] = slots - 1
+		a, took := w.callBeside("/draft/x")
+		if a == nil || strings.ReplaceAll(a.Body.String(), ": still here\n\n", "") != wholeStream() || took > 1500*time.Millisecond {
+			t.Errorf("got %+v after %v", a, took)
+		}
+	})
+	t.Run("before the first event", func(t *testing.T) {
+		t.Parallel()
+		w := newWorld(t, 2)
+		w.configureEngine(2, routing.Engine{Slots: slots, StepTime: time.Millisecond, StepsPerPass: 4}, key)
+		first, second := w.runners["pool-0"], w.runners["pool-1"]
+		first.CommentInPauses(time.Second)
+		first.DelayOnBody("paused", 3*time.Second)
+		second.DelayOnBody("paused", 1300*time.Millisecond)
+		// It becomes known how long runners take, and the second one is registered once the request is at the first.
+		for range 5 {
+			w.call()
+		}
+		list := []runner.Runner{
+			runner.New("pool-0", "pool", w.address["pool-0"], runner.Centre("z"), runner.Slots(slots)),
+			runner.New("pool-1", "pool", w.address["pool-1"], runner.Centre("z"), runner.Slots(slots)),
+		}
+		w.apply(overseer.RunnersListed{At: w.Now(), Runners: list[:1]})
+		time.AfterFunc(300*time.Millisecond, func() { w.apply(overseer.RunnersListed{At: w.Now(), Runners: list}) })
+		a, took := w.callBeside("/draft/x")
+		if a == nil || strings.ReplaceAll(a.Body.String(), ": still here\n\n", "") != wholeStream() || took > 2700*time.Millisecond {
+			t.Errorf("got %+v after %v", a, took)
+		}
+		if a != nil && a.Header().Get("X-Server-Seal") != "seal-of-pool-0" {
+			t.Errorf("the head of the second runner was written, with the seal %q", a.Header().Get("X-Server-Seal"))
+		}
+		if runs := w.runsOf("paused"); runs != 2 {
+			t.Errorf("the request ran %d times, want 2", runs)
+		}
+	})
+}
+
 // runsOf returns how many runners a request with some body reached.
 func (w *world) runsOf(body string) int {
 	runs := 0
