--- a/protocol/messenger/entry.go
+++ b/protocol/messenger/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger/wire"
+	"github.com/kingcupstile/kingcupstile/state/evacuation"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 	"github.com/kingcupstile/kingcupstile/state/peer"
 	"github.com/kingcupstile/kingcupstile/state/suspect"
@@ -40,6 +41,9 @@
 		m.Leavers = append(m.Leavers, l.Runner)
 		m.Since = append(m.Since, uint32(max(0, l.Age.Milliseconds())))
 	}
+	for _, e := range b.Evacuations {
+		m.Evacuations = append(m.Evacuations, &wire.EntryEvacuation{Centre: e.Centre, Revision: e.Revision, Ended: e.Ended})
+	}
 	for _, e := range b.Parts {
 		m.Parts = append(m.Parts, encodePart(e, b.Sent))
 	}
@@ -111,6 +115,9 @@
 	for i, key := range m.GetLeavers() {
 		b.Leavers = append(b.Leavers, peer.Leaver{Runner: key, Age: time.Duration(m.GetSince()[i]) * time.Millisecond})
 	}
+	for _, e := range m.GetEvacuations() {
+		b.Evacuations = append(b.Evacuations, evacuation.Evacuation{Centre: e.GetCentre(), Revision: e.GetRevision(), Ended: e.GetEnded()})
+	}
 	for _, p := range m.GetParts() {
 		e, err := decodePart(p, b.Sent)
 		if err != nil {
--- a/protocol/messenger/entry_test.go
+++ b/protocol/messenger/entry_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/kingcupstile/kingcupstile/protocol/messenger"
+	"github.com/kingcupstile/kingcupstile/state/evacuation"
 	"github.com/kingcupstile/kingcupstile/state/peer"
 	"github.com/kingcupstile/kingcupstile/state/suspect"
 )
@@ -17,6 +18,9 @@
 		Echo: 89 * time.Second, EchoDelay: 20 * time.Millisecond, EchoStart: 3,
 		InFlight: map[uint32]peer.InFlight{7: {Requests: 2, UnreadTokens: 900}},
 		Crashes:  []suspect.Crash{{Fingerprint: "5f", Runner: 7, At: 88 * time.Second}},
+		Evacuations: []evacuation.Evacuation{
+			{Centre: "kgl-a", Revision: 40}, {Centre: "kgl-b", Revision: 41, Ended: true},
+		},
 	}
 	datagram, err := messenger.EncodeEntryHeartbeat(beat)
 	if err != nil {
--- a/protocol/parser/place.go
+++ b/protocol/parser/place.go
@@ -31,6 +31,9 @@
 	Grace time.Duration `json:"grace" min:"100ms"`
 	// RevocationTime is the time after which a revoked key must no longer be accepted; 0 stands for the default.
 	RevocationTime time.Duration `json:"revoke" min:"0s"`
+	// EvacuationTime is the time after which nothing may be sent any longer to the runners of a data centre that operators drain;
+	// at 0 drained data centres are not read.
+	EvacuationTime time.Duration `json:"evacuate" min:"0s"`
 	// LookupTTL is the longest time for which callers may cache the list of entries.
 	LookupTTL time.Duration `json:"lifetime" min:"0s"`
 	// RetryRatio and RetryBurst bound retries within a window: as a fraction of the requests, plus a number of retries.
--- a/state/peer/peer.go
+++ b/state/peer/peer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/kingcupstile/kingcupstile/state/evacuation"
 	"github.com/kingcupstile/kingcupstile/state/suspect"
 )
 
@@ -51,6 +52,8 @@
 	Parts []suspect.Evidence
 	// Leavers are the runners of which the sender knows that they leave.
 	Leavers []Leaver
+	// Evacuations lists the data centres of which the sender knows that operators drain them, or have returned them to service.
+	Evacuations []evacuation.Evacuation
 	// Silences lists entries that the sender has not heard from for too long, itself or by others.
 	Silences []Silence
 }
