overseer: Keep the runners of drained data centres from requests

State.Usable(service) returns the runners that may get requests. A drain is known from listings, changes and other entries' heartbeats, and the higher revision wins, so that an entry learns of it although its own watch hangs. Old listings end none. After a start the entry waits for its first listing, for two seconds at most, and is not ready meanwhile. After a pause of the process of more than half of the time in which it must have stopped, it asks again before it sends anything. Runners of drained data centres stay registered and are not reported as leaving.

Without the option overseer.Evacuations nothing changes, whatever heartbeats carry.

--- a/coordination/overseer/event.go
+++ b/coordination/overseer/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/kingcupstile/kingcupstile/state/evacuation"
 	"github.com/kingcupstile/kingcupstile/state/listing"
 	"github.com/kingcupstile/kingcupstile/state/peer"
 	"github.com/kingcupstile/kingcupstile/state/routing"
@@ -61,6 +62,26 @@
 	At       time.Duration
 }
 
+// EvacuationsListed carries all data centres that operators drain.
+type EvacuationsListed struct {
+	Evacuations []evacuation.Evacuation
+	// Revision and Unconfirmed are as in RunnersListed.
+	Revision    uint64
+	Unconfirmed bool
+	// RequestedAt is when a store was asked that answered with its latest state, 0 if a copy was.
+	RequestedAt time.Duration
+	At          time.Duration
+}
+
+// EvacuationsChanged carries changes of the data centres that operators drain.
+type EvacuationsChanged struct {
+	Changes []listing.Change[evacuation.Evacuation]
+	// Revision is the store's revision up to which these are all the changes, and RequestedAt is as in EvacuationsListed.
+	Revision    uint64
+	RequestedAt time.Duration
+	At          time.Duration
+}
+
 // HeartbeatReceived carries another entry's heartbeat.
 type HeartbeatReceived struct {
 	Heartbeat peer.Heartbeat
@@ -120,22 +141,24 @@
 // Leave reports that this entry is about to stop.
 type Leave struct{}
 
-func (ConfigReceived) isEvent()    {}
-func (ConfigConfirmed) isEvent()   {}
-func (RunnersListed) isEvent()     {}
-func (RunnersChanged) isEvent()    {}
-func (StoreUnreachable) isEvent()  {}
-func (PeersListed) isEvent()       {}
-func (PeersChanged) isEvent()      {}
-func (HeartbeatReceived) isEvent() {}
-func (RunnerCrashed) isEvent()     {}
-func (AnswerCut) isEvent()         {}
-func (RunnerSeen) isEvent()        {}
-func (RequestAnswered) isEvent()   {}
-func (PartsAnswered) isEvent()     {}
-func (RunnerLeaves) isEvent()      {}
-func (Tick) isEvent()              {}
-func (Leave) isEvent()             {}
+func (ConfigReceived) isEvent()     {}
+func (ConfigConfirmed) isEvent()    {}
+func (RunnersListed) isEvent()      {}
+func (RunnersChanged) isEvent()     {}
+func (StoreUnreachable) isEvent()   {}
+func (PeersListed) isEvent()        {}
+func (PeersChanged) isEvent()       {}
+func (EvacuationsListed) isEvent()  {}
+func (EvacuationsChanged) isEvent() {}
+func (HeartbeatReceived) isEvent()  {}
+func (RunnerCrashed) isEvent()      {}
+func (AnswerCut) isEvent()          {}
+func (RunnerSeen) isEvent()         {}
+func (RequestAnswered) isEvent()    {}
+func (PartsAnswered) isEvent()      {}
+func (RunnerLeaves) isEvent()       {}
+func (Tick) isEvent()               {}
+func (Leave) isEvent()              {}
 
 // Effect is an action that Step asks for; it is carried out outside the state machine.
 type Effect interface{ isEffect() }
@@ -150,8 +173,14 @@
 // Deregister asks for the removal of an entry's registration from the store.
 type Deregister struct{ Name string }
 
-// Refresh asks for an immediate read of the configuration, of the runners, or of both from the store.
-type Refresh struct{ Config, Runners bool }
+// Refresh asks for an immediate read of some kinds of objects from the store.
+type Refresh struct{ Config, Runners, Evacuations bool }
+
+// Evacuated tells that operators drain a data centre, or that they returned it to service.
+type Evacuated struct {
+	Centre string
+	Ended  bool
+}
 
 // Withhold asks to withdraw the unanswered requests with some parts from runners.
 type Withhold struct{ Parts []suspect.Part }
@@ -165,5 +194,6 @@
 func (Log) isEffect()        {}
 func (Withhold) isEffect()   {}
 func (RunnerLost) isEffect() {}
+func (Evacuated) isEffect()  {}
 func (Refresh) isEffect()    {}
 func (Deregister) isEffect() {}
--- a/coordination/overseer/leavers.go
+++ b/coordination/overseer/leavers.go
@@ -64,8 +64,7 @@
 		s.leavers = map[string]leaver{}
 	}
 	s.leavers[r.ID()] = l
-	s.runners = s.runners.WithRunners(r.WithState(runner.StateLeaving))
-	return s
+	return s.withRunnerSet(s.runners.WithRunners(r.WithState(runner.StateLeaving)))
 }
 
 // withRegistered returns the state with a runner as the store has it, marked as leaving if that is known since it started.
@@ -79,8 +78,7 @@
 			delete(s.leavers, r.ID())
 		}
 	}
-	s.runners = s.runners.WithRunners(r)
-	return s
+	return s.withRunnerSet(s.runners.WithRunners(r))
 }
 
 // withLeaversMarked marks the runners that are known to leave, after all were listed.
@@ -126,7 +124,7 @@
 		s.leavers = maps.Clone(s.leavers)
 		delete(s.leavers, id)
 		if found {
-			s.runners = s.runners.WithRunners(r.WithState(runner.StateReady))
+			s = s.withRunnerSet(s.runners.WithRunners(r.WithState(runner.StateReady)))
 		}
 	}
 	for key, since := range s.drained {
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -86,6 +86,9 @@
 	hasTable     bool
 	runners      runner.Set
 	hasRunners   bool
+	// usable are the runners outside the drained data centres.
+	usable      runner.Set
+	evacuations evacuations
 	// runnersAt and peersAt are how far the runners and the other entries are known, and runnersLast is the store's revision of the
 	// last known change of a runner.
 	runnersAt, peersAt position
@@ -155,9 +158,11 @@
 // IsLeaving reports whether this entry is about to stop.
 func (s State) IsLeaving() bool { return s.leaving }
 
-// IsReady reports whether this entry can serve callers: it has listed the runners, its configuration is fresh, and it
-// is not about to stop.
-func (s State) IsReady(now time.Duration) bool { return !s.leaving && s.hasRunners && s.IsFresh(now) }
+// IsReady reports whether this entry can serve callers: it has listed the runners, it knows which data centres are drained if it reads
+// that, its configuration is fresh, and it is not about to stop.
+func (s State) IsReady(now time.Duration) bool {
+	return !s.leaving && s.hasRunners && s.KnowsEvacuations(now) && s.IsFresh(now)
+}
 
 // IsRelay reports whether this entry polls the store at short intervals. The first relayCount present entries by name
 // do, and so does an entry whose configuration they have not confirmed for too long.
@@ -190,6 +195,7 @@
 		Name: s.self.Name, Start: s.self.Start, Ready: s.IsReady(now), Leaving: s.leaving, ConfigVersion: s.table.Version(),
 		ConfigAge: s.Age(now), RunnersRevision: s.runnersLast, Sent: now, InFlight: open, Silences: s.silences(now),
 		StoreUnreachable: s.unreachable, Leavers: s.leaversToReport(now),
+		Evacuations: s.evacuations.table.Reported(now, endReportTime, maxEvacuations),
 	}
 	heartbeats := make(map[string]peer.Heartbeat, len(list))
 	for _, to := range list {
--- a/coordination/overseer/step.go
+++ b/coordination/overseer/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/kingcupstile/kingcupstile/state/listing"
@@ -42,8 +43,12 @@
 		return s.withHeartbeat(e.Heartbeat, e.At)
 	case RunnerLeaves:
 		return s.withLeaver(e)
+	case EvacuationsListed, EvacuationsChanged:
+		return s.withEvacuationEvent(event)
 	case Tick:
-		return s.withTicked(e.At).withoutExpiredCrashes(e.At).withoutExpiredParts(e.At).withoutExpiredLeavers(e.At).tick(e.At)
+		s, effects := s.withEvacuationsAwaited(e.At)
+		s, due := s.withTicked(e.At).withoutExpiredCrashes(e.At).withoutExpiredParts(e.At).withoutExpiredLeavers(e.At).tick(e.At)
+		return s, append(effects, due...)
 	case Leave:
 		s.leaving = true
 		return s, []Effect{Log{Message: "entry leaves"}}
@@ -163,8 +168,8 @@
 		}
 	}
 	before := s.runners
-	s.runners, s.hasRunners = next, true
-	s = s.withDrainedSince(before, at).withLeaversMarked()
+	s.hasRunners = true
+	s = s.withRunnerSet(next).withDrainedSince(before, at).withLeaversMarked()
 	return s, append(effects, Log{Message: "runners listed", Args: []any{"runners", next.Len(), "in doubt", len(s.retained)}})
 }
 
@@ -196,7 +201,7 @@
 			effects = append(effects, Log{Message: "registration missing after store outage; keeping runner", Args: []any{"runner", c.Name}})
 		case found:
 			s = s.withDrained(old, at)
-			s.runners = s.runners.Without(c.Name)
+			s = s.withRunnerSet(s.runners.Without(c.Name))
 			effects = append(effects, Log{Message: "runner removed", Args: []any{"runner", c.Name, "service", old.Service()}})
 		}
 	}
@@ -257,10 +262,11 @@
 	}
 	e.heartbeat, e.heardAt = b, at
 	s = s.withEntry(e).withRelayedAge(b, at).withSilences(b, at).withRelayedOutage(b, at).withInformed(b).withPeerLeavers(b, at)
+	s, effects := s.withPeerEvacuations(b, at)
 	s, lost := s.withPeerCrashes(b, at)
 	s = s.withPeerAnswers(b, at)
 	s, judged := s.withPeerParts(b, at)
-	return s, append(lost, judged...)
+	return s, slices.Concat(effects, lost, judged)
 }
 
 // withEntry returns the state with another entry replaced.
@@ -332,7 +338,7 @@
 		}
 		s.retained = maps.Clone(s.retained)
 		delete(s.retained, id)
-		s.runners = s.runners.Without(id)
+		s = s.withRunnerSet(s.runners.Without(id))
 		effects = append(effects, Log{Message: "runner removed", Args: []any{"runner", id, "service", kept.runner.Service()}})
 	}
 	if fresh := s.IsFresh(at); fresh != s.loggedFresh {
--- a/state/runner/set.go
+++ b/state/runner/set.go
@@ -89,6 +89,17 @@
 	return indexed(byID)
 }
 
+// WithoutCentres returns the set without the runners in data centres for which a function returns true.
+func (s Set) WithoutCentres(isLeftOut func(centre string) bool) Set {
+	byID := make(map[string]Runner, len(s.byID))
+	for id, r := range s.byID {
+		if !isLeftOut(r.centre) {
+			byID[id] = r
+		}
+	}
+	return indexed(byID)
+}
+
 // Without returns the set without the runners that have the given identifiers.
 func (s Set) Without(ids ...string) Set {
 	byID := maps.Clone(s.byID)
