forwarder, gateway, dispatcher, conduit: Stop sending to drained data centres

An entry whose settings have the key evacuate reads which data centres operators drain, as it reads runners: two entries watch the store, the others watch another entry's copy, and all tell each other in heartbeats. The forwarder chooses and counts State.Usable only, and checks the runner again after the choice and once more just before the request is written to it. An attempt that is withheld then counts neither as an attempt nor twice against the retry budget (dispatcher.SendWithheld, StandbyWithheld), and not as a failure of the runner.

If no runner may get a request, it is refused at once with 503 and a time to return; so are the requests that wait in the gate or for an outage to end (Forwarder.RefuseClosed). Answers in progress go on.

--- a/commands/hangup_test.go
+++ b/commands/hangup_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -21,10 +22,18 @@
 // startPlatformEntry starts an entry on the users' platform in a process of its own, and returns it and the address for its
 // callers. Its one runner answers with a stream of signalLines events, 50 ms apart.
 func startPlatformEntry(t *testing.T, output io.Writer) (command *exec.Cmd, address string) {
+	t.Helper()
+	command, address, _ = startPlatformEntryWith(t, output, nil)
+	return command, address
+}
+
+// startPlatformEntryWith does the same with more settings, and also returns the store.
+func startPlatformEntryWith(t *testing.T, output io.Writer, more map[string]any) (command *exec.Cmd, address string, store *site.Store) {
 	t.Helper()
 	r := site.NewRunner("pool-a")
 	r.Events, r.EventInterval = signalLines, 50*time.Millisecond
-	engine, store := httptest.NewServer(r), site.NewStore()
+	engine := httptest.NewServer(r)
+	store = site.NewStore()
 	t.Cleanup(engine.Close)
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
@@ -41,11 +50,13 @@
 	base, reserved, err := freeBase()
 	check(t, err)
 	t.Cleanup(func() { _ = reserved.Close() })
-	settings, err := json.Marshal(map[string]any{
+	values := map[string]any{
 		"role": "entry", "name": "entry-1", "centre": "z", "region": "r", "ip": "127.0.0.1", "store": server.Listener.Addr().String(),
 		"callers": loopback(base), "ready": loopback(base + 1), "lookup": loopback(base + 2), "internal": []int{base + 3},
 		"grace": "8s", "retries": 0.2, "slack": 10,
-	})
+	}
+	maps.Copy(values, more)
+	settings, err := json.Marshal(values)
 	check(t, err)
 	file := filepath.Join(t.TempDir(), "settings.jsonc")
 	check(t, os.WriteFile(file, settings, 0o600))
@@ -55,7 +66,7 @@
 	command.Args, command.Stderr = []string{"kingcupstiled", "serve", "--settings", file}, output
 	check(t, command.Start())
 	awaitStatus(t, "http://"+loopback(base+1)+"/kingcupstile/readyz", http.StatusOK)
-	return command, loopback(base)
+	return command, loopback(base), store
 }
 
 func awaitStatus(t *testing.T, url string, want int) {
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -91,15 +91,17 @@
 	}
 	replica := platform.NewReplica()
 	return gateway.New(settings, gateway.Dependencies{
-		Config:   config.WithReplica(replica),
-		Runners:  runners.WithReplica(replica),
-		Entries:  platform.Entries(client, codec, log).WithReplica(replica),
-		Registry: platform.EntryRegistry(client, codec),
+		Config:      config.WithReplica(replica),
+		Runners:     runners.WithReplica(replica),
+		Entries:     platform.Entries(client, codec, log).WithReplica(replica),
+		Evacuations: platform.Evacuations(client, log).WithReplica(replica),
+		Registry:    platform.EntryRegistry(client, codec),
 		Copies: func(address string) gateway.Copies {
 			near := platform.NewClient(address, platform.ForReplica())
 			return gateway.Copies{
 				Config: platform.Config(near, log).WithReplica(replica), Runners: platform.Runners(near, log).WithReplica(replica),
-				Entries: platform.Entries(near, codec, log).WithReplica(replica),
+				Entries:     platform.Entries(near, codec, log).WithReplica(replica),
+				Evacuations: platform.Evacuations(near, log).WithReplica(replica),
 			}
 		},
 		Replica: replica.Handler(),
--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -18,6 +18,8 @@
 	ReasonCut = "cut"
 	// ReasonPaused is the reason of an attempt that begins beside one whose answer paused.
 	ReasonPaused = "paused"
+	// ReasonWithheld is the reason of an attempt that was not sent as its endpoint was closed for new attempts.
+	ReasonWithheld = "withheld"
 	// ReasonNoEndpoint is the reason of a request for whose next attempt no endpoint is available.
 	ReasonNoEndpoint = "no-endpoint"
 )
@@ -122,6 +124,11 @@
 	case StandbyFailed:
 		d.avoid = append(slices.Clip(d.avoid), endpoint)
 		return d, Action{Do: DoIgnore}
+	case SendWithheld:
+		return d, Action{Do: DoSend, Reason: ReasonWithheld}
+	case StandbyWithheld:
+		d.number--
+		return d, Action{Do: DoIgnore}
 	case DeadlineExceeded:
 		d.mayHaveRun = d.mayHaveRun || d.sent || e.Sent || d.keyed
 		return d, d.conclude(ReasonTimeout)
--- a/coordination/dispatcher/dispatcher_test.go
+++ b/coordination/dispatcher/dispatcher_test.go
@@ -92,3 +92,34 @@
 		})
 	}
 }
+
+// TestWithheldAttemptDoesNotCount guards against requests whose attempts are used up by such as were never written, and that may run
+// more often than is allowed.
+func TestWithheldAttemptDoesNotCount(t *testing.T) {
+	unsent, withheld, paused := dispatcher.ConnectionFailed{}, dispatcher.SendWithheld{}, dispatcher.AnswerPaused{}
+	besideWithheld, besideFailed := dispatcher.StandbyWithheld{}, dispatcher.StandbyFailed{}
+	for name, test := range map[string]struct {
+		events events
+		want   dispatcher.Do
+		number int
+	}{
+		"first":                       {events{withheld, withheld}, dispatcher.DoSend, 1},
+		"retry":                       {events{unsent, withheld}, dispatcher.DoSend, 2},
+		"withheld, then failed":       {events{withheld, unsent}, dispatcher.DoSend, 2},
+		"retry withheld, then failed": {events{unsent, withheld, unsent}, dispatcher.DoConclude, 2},
+		"beside another":              {events{paused, besideWithheld}, dispatcher.DoIgnore, 1},
+		"beside another, and again":   {events{paused, besideWithheld, paused}, dispatcher.DoStandby, 2},
+		"beside another, and again, which failed": {events{paused, besideFailed, paused}, dispatcher.DoIgnore, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := dispatcher.New(attempt.New("r", attempt.Repeatable(true)), dispatcher.MaxAttempts(2), dispatcher.Direct())
+			var action dispatcher.Action
+			for _, event := range test.events {
+				d, action = d.WithEvent("pool-1", event)
+			}
+			if action.Do != test.want || d.Number() != test.number {
+				t.Errorf("got %s with number %d, want %s with %d", action.Do, d.Number(), test.want, test.number)
+			}
+		})
+	}
+}
--- a/coordination/dispatcher/event.go
+++ b/coordination/dispatcher/event.go
@@ -34,6 +34,13 @@
 // StandbyFailed reports that the attempt beside the current one, at another endpoint, failed or was refused.
 type StandbyFailed struct{}
 
+// SendWithheld reports that nothing of the current attempt was written, as its endpoint was closed for new attempts after it was chosen.
+// The attempt is sent to another endpoint and counts once.
+type SendWithheld struct{}
+
+// StandbyWithheld reports the same of the attempt beside the current one, which ends and does not count.
+type StandbyWithheld struct{}
+
 // DeadlineExceeded reports that the request's deadline passed; Sent is false if nothing of the current attempt was
 // written.
 type DeadlineExceeded struct{ Sent bool }
@@ -45,6 +52,8 @@
 func (SendDenied) isEvent()       {}
 func (AnswerPaused) isEvent()     {}
 func (StandbyFailed) isEvent()    {}
+func (SendWithheld) isEvent()     {}
+func (StandbyWithheld) isEvent()  {}
 func (DeadlineExceeded) isEvent() {}
 
 // Do is the kind of an action.
--- a/transport/conduit/conduit.go
+++ b/transport/conduit/conduit.go
@@ -29,6 +29,8 @@
 	KindUnsent Kind = "unsent"
 	// KindCut says that the request was written, at least in part, and no usable answer was received in full.
 	KindCut Kind = "cut"
+	// KindWithheld says that nothing was written, as the request must not be sent any more.
+	KindWithheld Kind = "withheld"
 )
 
 // Error is the failure of a request that got no complete answer.
@@ -52,6 +54,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// MaySend is called just before the request is written, and reports whether it may be; nil stands for always.
+	MaySend func() bool
 }
 
 // Exchange is a sent request with the head of its answer and its connection, which is open until Close is called.
@@ -62,7 +66,7 @@
 }
 
 // Send opens a connection to an address, writes the request and reads the head of the answer, or returns an Error of
-// KindUnsent or KindCut. The connection is closed when ctx ends before Close is called.
+// KindUnsent, KindCut or KindWithheld. The connection is closed when ctx ends before Close is called.
 func Send(ctx context.Context, address string, r Request) (*Exchange, error) {
 	dialer := net.Dialer{Timeout: DialTimeout, Control: setAckTimeout, KeepAlive: -1}
 	connection, err := dialer.DialContext(ctx, "tcp", address)
@@ -78,6 +82,10 @@
 		x.close()
 		return nil, fault.New("dial", KindUnsent, ctx.Err())
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		x.close()
+		return nil, fault.New("write request", KindWithheld, nil)
+	}
 	partial := false
 	if n, err := connection.Write(r.encode()); err != nil {
 		if n == 0 {
--- a/transport/conduit/conduit_test.go
+++ b/transport/conduit/conduit_test.go
@@ -139,3 +139,36 @@
 		t.Errorf("%d bytes, %v", len(got), err)
 	}
 }
+
+// TestWithheldRequestIsNotWritten guards against bytes that reach a runner although the request must not be sent to it any more.
+func TestWithheldRequestIsNotWritten(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	received := make(chan int, 1)
+	go func() {
+		connection, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = connection.Close() }()
+		n, _ := connection.Read(make([]byte, 64))
+		received <- n
+	}()
+	x, err := conduit.Send(t.Context(), l.Addr().String(), conduit.Request{
+		Method: "POST", Target: "/", Host: "h", MaySend: func() bool { return false },
+	})
+	if x != nil || fault.KindOf[conduit.Kind](err) != conduit.KindWithheld {
+		t.Errorf("got %v, %v", x, err)
+	}
+	select {
+	case n := <-received:
+		if n > 0 {
+			t.Errorf("the runner received %d bytes", n)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the connection stays open")
+	}
+}
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/kingcupstile/kingcupstile/coordination/budgeter"
@@ -52,6 +53,8 @@
 	restEnd time.Duration
 	// identity is the request's fingerprint, empty until it is first needed.
 	identity suspect.Fingerprint
+	// paidFor is the number of the last attempt that the retry budget allowed.
+	paidFor int
 	// denied is the refusal that forbids any further attempt, nil if there is none.
 	denied *refusal
 	// lastFailure is why the last attempt failed, for the log.
@@ -112,12 +115,8 @@
 	}
 	chosen, room := x.place(waiting, x.latestStart())
 	stop()
-	state, now := f.snapshot(), f.clock.Now()
-	if x.denied = x.denial(state, now); x.denied != nil {
-		return dispatcher.SendDenied{Reason: x.denied.reason}
-	}
-	remaining := x.left()
-	if x.denied = x.leaving(); x.denied != nil {
+	now, remaining := f.clock.Now(), x.left()
+	if x.denied = x.denialAfter(ctx, room); x.denied != nil {
 		return dispatcher.SendDenied{Reason: x.denied.reason}
 	}
 	switch {
@@ -135,7 +134,7 @@
 		return dispatcher.SendDenied{Reason: reasonFull}
 	}
 	if x.dispatch.Number() > 1 {
-		if !f.retrier.Allow(x.service, reason) {
+		if !x.isAllowed(x.dispatch.Number(), reason) {
 			return dispatcher.SendDenied{Reason: reason}
 		}
 		f.log.Info("retrying request at another runner", "request", x.request.ID, "attempt", x.dispatch.Number(), "reason", reason,
@@ -147,6 +146,26 @@
 	return x.await(ctx)
 }
 
+// isAllowed reports whether the retry budget allows the attempt with a number. An attempt that was withheld before is paid for.
+func (x *exchange) isAllowed(number int, reason string) bool {
+	if x.paidFor != number && !x.forwarder.retrier.Allow(x.service, reason) {
+		return false
+	}
+	x.paidFor = number
+	return true
+}
+
+// denialAfter returns why the request must not be sent to a runner after one was looked for, nil if it may.
+func (x *exchange) denialAfter(ctx context.Context, found room) *refusal {
+	if denied := x.denial(x.forwarder.snapshot(), x.forwarder.clock.Now()); denied != nil {
+		return denied
+	}
+	if denied := x.leaving(); denied != nil || found == roomFound || ctx.Err() != nil {
+		return denied
+	}
+	return x.checkClosed()
+}
+
 // leaving returns the refusal of the next attempt if the process would cut it off as it ends, nil if it may be sent. What may have run
 // goes on, as its caller cannot be told that it has not.
 func (x *exchange) leaving() *refusal {
@@ -209,7 +228,7 @@
 // begun.
 func (x *exchange) conclude(ctx context.Context, action dispatcher.Action) {
 	x.closeCalls()
-	if x.denied == nil || x.denied.reason != reasonPart {
+	if x.denied == nil || !slices.Contains([]string{reasonPart, reasonClosed, reasonUnlisted}, x.denied.reason) {
 		x.forwarder.trials.RecordFailed(x.service, x.forwarder.clock.Now())
 	}
 	r := refusal{status: http.StatusBadGateway, reason: action.Reason}
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -39,6 +39,8 @@
 	estimates *estimator.Book
 	// unanswered holds the attempts that a runner has not begun to answer, as keys of type *call.
 	unanswered sync.Map
+	// waiting holds the requests that wait before they look for a runner, as keys of type *wait.
+	waiting sync.Map
 	// gates holds the *pacer.Gate of each service by its name.
 	gates sync.Map
 	// outages holds the *breaker.Switch of each service by its name.
@@ -134,7 +136,7 @@
 	table, _ := state.Table()
 	s, _ := table.Service(service)
 	entries := len(state.Heartbeats(now)) + 1
-	runners := state.Runners().OfService(service)
+	runners := state.Usable(service)
 	bounds := pacer.BoundsFor(s, runners, entries, gap)
 	if f.IsProbed(state, service, entries) {
 		bounds = pacer.Unbounded(s, runners, gap)
--- a/transport/forwarder/forwarder_test.go
+++ b/transport/forwarder/forwarder_test.go
@@ -50,15 +50,17 @@
 	onProbe   func()
 	forwarder *forwarder.Forwarder
 	address   map[string]string
+	// chosen holds what is called by the runner that was chosen.
+	chosen map[string]func()
 }
 
-func newWorld(t *testing.T, count int) *world {
+func newWorld(t *testing.T, count int, options ...overseer.Option) *world {
 	t.Helper()
 	w := &world{
 		t: t, start: time.Now().Add(-time.Minute), runners: map[string]*site.Runner{}, open: map[string]int{}, announced: map[string]int{},
 		address: map[string]string{}, onProbe: func() {},
 	}
-	w.state = overseer.New(peer.Peer{Name: "e-00", Start: 1, Centre: "z"}, overseer.MaxStaleness(3*time.Second))
+	w.state = overseer.New(peer.Peer{Name: "e-00", Start: 1, Centre: "z"}, append(options, overseer.MaxStaleness(3*time.Second))...)
 	peers := make([]peer.Peer, 0, entries-1)
 	for n := range entries - 1 {
 		peers = append(peers, peer.Peer{Name: fmt.Sprintf("e-%02d", n+1), Start: 1})
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -122,6 +122,7 @@
 	request := conduit.Request{
 		Method: x.httpRequest.Method, Target: x.httpRequest.RequestURI, Host: x.httpRequest.Host,
 		Header: x.forwarder.dialect.RequestHeader(x.httpRequest.Header, target), Body: x.body,
+		MaySend: func() bool { return x.forwarder.maySend(c.runner) },
 	}
 	go func() {
 		connection, err := conduit.Send(c.ctx, c.runner.Address(), request)
@@ -143,6 +144,9 @@
 func (c *call) handle(ctx context.Context, a arrival) dispatcher.Event {
 	switch a.kind {
 	case arrivalHead:
+		if fault.KindOf[conduit.Kind](a.err) == conduit.KindWithheld {
+			return c.handleWithheld()
+		}
 		if a.err != nil {
 			return c.handleFailure(ctx, a.err, fault.KindOf[conduit.Kind](a.err) != conduit.KindUnsent)
 		}
--- a/transport/forwarder/outage.go
+++ b/transport/forwarder/outage.go
@@ -101,9 +101,14 @@
 	if denied := x.checkOutage(); denied != nil && x.lastEvent == 0 {
 		return denied
 	}
-	if s.Wait(ctx, x.latestStart()-x.forwarder.clock.Now()) {
+	waiting, forget := x.untilClosed(ctx)
+	defer forget()
+	if s.Wait(waiting, x.latestStart()-x.forwarder.clock.Now()) {
 		return nil
 	}
+	if denied := x.checkClosed(); denied != nil {
+		return denied
+	}
 	return x.outageRefusal()
 }
 
--- a/transport/forwarder/place.go
+++ b/transport/forwarder/place.go
@@ -38,6 +38,10 @@
 func (x *exchange) place(ctx context.Context, until time.Duration) (runner.Runner, room) {
 	for {
 		chosen, found := x.choose(ctx, until)
+		if found == roomFound && !x.forwarder.takesWork(chosen) {
+			// The choice was made by an earlier state.
+			continue
+		}
 		if found != roomFound || x.forwarder.tracker.Admit(chosen.ID(), x.forwarder.clock.Now()) {
 			return chosen, found
 		}
@@ -54,8 +58,11 @@
 		state, now := f.snapshot(), f.clock.Now()
 		heartbeats := state.Heartbeats(now)
 		view := f.tracker.View(heartbeats, now)
-		runners := state.Runners().OfService(x.service)
+		runners := state.Usable(x.service)
 		request := placer.Request{Centre: state.Self().Centre, Avoid: x.dispatch.Avoid()}.WithAvoided(f.tracker.Resting(now))
+		if !state.KnowsEvacuations(now) {
+			return runner.Runner{}, roomNone
+		}
 		if x.restEnd = x.nextRestEnd(runners, now); x.restEnd > now {
 			return runner.Runner{}, roomFull
 		}
@@ -113,10 +120,11 @@
 	return first
 }
 
-// takesWork reports whether a runner is registered and takes new work now.
+// takesWork reports whether a runner is registered, takes new work and may receive requests now.
 func (f *Forwarder) takesWork(r runner.Runner) bool {
-	registered, found := f.snapshot().Runners().Runner(r.ID())
-	return found && registered.IsReady()
+	state := f.snapshot()
+	registered, found := state.Runners().Runner(r.ID())
+	return found && registered.IsReady() && state.MaySend(registered, f.clock.Now())
 }
 
 // placed returns the result of choosing a runner without knowing its room.
--- a/transport/forwarder/serve.go
+++ b/transport/forwarder/serve.go
@@ -45,6 +45,10 @@
 	// started or was paused, does not know yet whether one does.
 	reasonPart       = "part-of-prompt-held-back"
 	reasonUninformed = "knowledge-of-crashes-too-old"
+	// reasonClosed is that operators drain the data centres of all runners, and reasonUnlisted that this entry does not know yet which
+	// they drain.
+	reasonClosed   = "data-centres-drained"
+	reasonUnlisted = "drained-data-centres-not-known"
 )
 
 // access is what the configuration says of a request that it allows.
@@ -145,6 +149,10 @@
 		writer:     newWriter(w, r), parts: identifyParts(service, d),
 	}
 	defer x.leaveTrial()
+	if denied := x.checkClosed(); denied != nil {
+		f.logAndRefuse(w, d, *denied, x.left())
+		return
+	}
 	if denied := x.checkOutage(); denied != nil {
 		f.trials.RecordFailed(service, f.clock.Now())
 		f.logAndRefuse(w, d, *denied, x.left())
@@ -171,6 +179,8 @@
 	x.gate = f.gate(x.service, f.snapshot(), now, x.access.route.MaxEventGap())
 	waiting, stop := f.untilRefusing(ctx)
 	defer stop()
+	waiting, forget := x.untilClosed(waiting)
+	defer forget()
 	leave, entered := x.gate.Acquire(waiting, pacer.Request{
 		Priority: x.access.urgency, At: now, LatestStart: x.latestStart(), Duration: f.estimates.Work(x.kind).Whole.Mean(),
 	})
@@ -180,6 +190,9 @@
 	if denied := x.leaving(); denied != nil {
 		return nil, denied
 	}
+	if denied := x.checkClosed(); denied != nil {
+		return nil, denied
+	}
 	pace := x.gate.Pace()
 	return nil, &refusal{
 		status: http.StatusServiceUnavailable, reason: reasonFull, retryAfter: x.returnAfter(x.roomIn()),
--- a/transport/forwarder/standby.go
+++ b/transport/forwarder/standby.go
@@ -82,6 +82,12 @@
 func (x *exchange) ofStandby(event dispatcher.Event) dispatcher.Event {
 	switch {
 	case event == nil:
+	case isWithheld(event):
+		x.dispatch, _ = x.dispatch.WithEvent(x.standby.runner.ID(), dispatcher.StandbyWithheld{})
+		x.countStandby("withheld")
+		x.standby.close()
+		x.standby = nil
+		return nil
 	case isFailure(event):
 		x.dispatch, _ = x.dispatch.WithEvent(x.standby.runner.ID(), dispatcher.StandbyFailed{})
 		x.countStandby("failed")
@@ -101,10 +107,16 @@
 	x.call, x.runner, x.standby = x.standby, x.standby.runner, nil
 }
 
+// isWithheld reports whether an event says that an attempt was not sent as its runner must not get requests any more.
+func isWithheld(event dispatcher.Event) bool {
+	_, is := event.(dispatcher.SendWithheld)
+	return is
+}
+
 // isFailure reports whether an event says that an attempt failed or did not run.
 func isFailure(event dispatcher.Event) bool {
 	switch e := event.(type) {
-	case dispatcher.ConnectionFailed:
+	case dispatcher.ConnectionFailed, dispatcher.SendWithheld:
 		return true
 	case dispatcher.FrameReceived:
 		return e.Frame.IsLast() && e.Frame.Outcome() != attempt.OutcomeRan
@@ -183,7 +195,7 @@
 	state, now := f.snapshot(), f.clock.Now()
 	remaining := x.left()
 	isAllowed := room == roomFound && remaining > 0 && x.endTrial == nil && len(state.Held(x.parts)) == 0 &&
-		x.denial(state, now) == nil && f.retrier.Allow(x.service, action.Reason)
+		x.denial(state, now) == nil && x.isAllowed(next.Number(), action.Reason)
 	if !isAllowed {
 		x.dispatch = before
 		return
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/coordination/follower"
 	"github.com/kingcupstile/kingcupstile/coordination/looper"
@@ -19,6 +21,7 @@
 	"github.com/kingcupstile/kingcupstile/coordination/retrier"
 	"github.com/kingcupstile/kingcupstile/coordination/sourcer"
 	"github.com/kingcupstile/kingcupstile/protocol/parser"
+	"github.com/kingcupstile/kingcupstile/state/evacuation"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 	"github.com/kingcupstile/kingcupstile/state/peer"
 	"github.com/kingcupstile/kingcupstile/state/routing"
@@ -40,10 +43,12 @@
 
 // Dependencies is what an entry uses of the platform that it runs on.
 type Dependencies struct {
-	Config   kingcupstile.Feed[routing.Table]
-	Runners  kingcupstile.Feed[runner.Runner]
-	Entries  kingcupstile.Feed[peer.Peer]
-	Registry kingcupstile.Registry[peer.Peer]
+	Config  kingcupstile.Feed[routing.Table]
+	Runners kingcupstile.Feed[runner.Runner]
+	Entries kingcupstile.Feed[peer.Peer]
+	// Evacuations is the feed of the data centres that operators drain; it is read only where the settings ask for it.
+	Evacuations kingcupstile.Feed[evacuation.Evacuation]
+	Registry    kingcupstile.Registry[peer.Peer]
 	// Copies returns the feeds of the copies that another entry serves at an address, and Replica serves this entry's.
 	Copies  func(address string) Copies
 	Replica http.Handler
@@ -63,6 +68,8 @@
 	Config  kingcupstile.Feed[routing.Table]
 	Runners kingcupstile.Feed[runner.Runner]
 	Entries kingcupstile.Feed[peer.Peer]
+	// Evacuations is as in Dependencies.
+	Evacuations kingcupstile.Feed[evacuation.Evacuation]
 }
 
 // Gateway is one entry process.
@@ -77,6 +84,9 @@
 	self      peer.Peer
 	config    *follower.Follower[routing.Table]
 	runners   *follower.Follower[runner.Runner]
+	// evacuations is nil if this entry does not read which data centres are drained.
+	evacuations *follower.Follower[evacuation.Evacuation]
+	scope       tally.Scope
 	// mu guards copies, the feeds of the entry at copiesAt.
 	mu       sync.Mutex
 	copies   Copies
@@ -125,8 +135,11 @@
 func (g *Gateway) Run(stop context.Context) error {
 	control, end := context.WithCancel(context.WithoutCancel(stop))
 	defer end()
-	g.loop = looper.New(overseer.New(g.self, overseer.MaxStaleness(g.settings.MaxKeyAge())), overseer.Step, g.handle)
+	initial := overseer.New(g.self, overseer.MaxStaleness(g.settings.MaxKeyAge()),
+		overseer.Evacuations(g.evacuationTime(), g.platform.Clock.Now()))
+	g.loop = looper.New(initial, overseer.Step, g.handle)
 	scope, closer := g.meter.Scope("kingcup")
+	g.scope = scope
 	defer func() { _ = closer.Close() }()
 	socket, err := (&net.ListenConfig{}).ListenPacket(control, "udp4", net.JoinHostPort(g.settings.IP, "0"))
 	if err != nil {
@@ -147,6 +160,9 @@
 	runners := sourcer.New(g.platform.Runners, nearby(g, func(c Copies) kingcupstile.Feed[runner.Runner] { return c.Runners }))
 	g.runners = follower.New(runners, g.platform.Clock, runnerSink{g}, follower.WatchWait[runner.Runner](g.runnersWait),
 		follower.Linked[runner.Runner](g.isLinked))
+	if g.evacuationTime() > 0 {
+		g.followEvacuations(control)
+	}
 	go g.loop.Run(control)
 	go g.config.Run(control)
 	go g.runners.Run(control)
@@ -311,6 +327,11 @@
 		if e.Runners {
 			g.runners.Refresh()
 		}
+		if e.Evacuations {
+			g.evacuations.Refresh()
+		}
+	case overseer.Evacuated:
+		g.recordEvacuated(e)
 	case overseer.Withhold:
 		// In another goroutine, as it reports what this entry knows of the parts.
 		go g.forwarder.Withhold(e.Parts)
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -99,16 +99,22 @@
 	return d
 }
 
-func (d *deployment) start() {
+func (d *deployment) start() { d.startWith(func(*gateway.Dependencies) {}) }
+
+// startWith starts the entry with changed dependencies.
+func (d *deployment) startWith(change func(*gateway.Dependencies)) {
 	log := slog.New(slog.DiscardHandler)
 	client, codec := platform.NewClient(d.settings.Store), translator.PeerCodec{}
 	var stop context.Context
 	stop, d.stop = context.WithCancel(context.Background())
-	g := gateway.New(d.settings, gateway.Dependencies{
+	dependencies := gateway.Dependencies{
 		Config: platform.Config(client, log), Runners: platform.Runners(client, log), Entries: platform.Entries(client, codec, log),
-		Registry: platform.EntryRegistry(client, codec), Dialect: platform.Dialect{}, Clock: timekeeper.Clock{},
+		Evacuations: platform.Evacuations(client, log),
+		Registry:    platform.EntryRegistry(client, codec), Dialect: platform.Dialect{}, Clock: timekeeper.Clock{},
 		Lookup: platform.Lookup(time.Second), Ready: platform.Ready,
-	}, log)
+	}
+	change(&dependencies)
+	g := gateway.New(d.settings, dependencies, log)
 	go func() { d.ended <- g.Run(stop) }()
 	d.t.Cleanup(func() {
 		d.stop()
