--- a/coordination/overseer/evacuations.go
+++ b/coordination/overseer/evacuations.go
@@ -80,8 +80,10 @@
 	return slices.ContainsFunc(s.runners.OfService(service), runner.Runner.IsReady)
 }
 
+// longestPause returns how long this process may have been paused without asking again, at least the gap between ticks that counts as no
+// pause.
 func (e evacuations) longestPause() time.Duration {
-	return time.Duration(pauseShare * float64(e.bound))
+	return max(maxTickGap, time.Duration(pauseShare*float64(e.bound)))
 }
 
 // withRunnerSet returns the state with other registered and retained runners.
--- a/transport/forwarder/evacuations.go
+++ b/transport/forwarder/evacuations.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/kingcupstile/kingcupstile/coordination/dispatcher"
+	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 	"github.com/kingcupstile/kingcupstile/state/runner"
 )
 
@@ -18,6 +20,21 @@
 	return dispatcher.SendWithheld{}
 }
 
+// awaitOpen waits while it is not known which data centres operators drain, for as long as the request can still be served, and then does
+// as checkClosed.
+func (x *exchange) awaitOpen(ctx context.Context) *refusal {
+	f := x.forwarder
+	waiting, stop := f.untilRefusing(ctx)
+	defer stop()
+	for {
+		denied := x.checkClosed()
+		isInTime := f.clock.Now()+informInterval < x.latestStart()
+		if denied == nil || denied.reason != reasonUnlisted || !isInTime || !pauser.Wait(waiting, informInterval) {
+			return denied
+		}
+	}
+}
+
 // checkClosed refuses a request if no runner may get it as operators drain the data centres of all, or if it is not known which they
 // drain.
 func (x *exchange) checkClosed() *refusal {
@@ -27,9 +44,9 @@
 	case !state.IsClosed(x.service, now):
 		return nil
 	case !state.KnowsEvacuations(now):
-		return newBriefRefusal(reasonUnlisted, jittered(minRetryAfter))
+		return &refusal{status: http.StatusServiceUnavailable, reason: reasonUnlisted, retryAfter: x.returnAfter(0)}
 	}
-	return newBriefRefusal(reasonClosed, jittered(longRetryAfter))
+	return &refusal{status: http.StatusServiceUnavailable, reason: reasonClosed, retryAfter: x.returnAfter(longRetryAfter)}
 }
 
 // wait is a request that waits before it looks for a runner of a service.
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -106,6 +106,9 @@
 	if x.denied = x.leaving(); x.denied != nil {
 		return dispatcher.SendDenied{Reason: x.denied.reason}
 	}
+	if x.denied = x.awaitOpen(ctx); x.denied != nil && ctx.Err() == nil {
+		return dispatcher.SendDenied{Reason: x.denied.reason}
+	}
 	if x.denied = x.awaitOutage(ctx); x.denied != nil && ctx.Err() == nil {
 		return dispatcher.SendDenied{Reason: x.denied.reason}
 	}
--- a/transport/forwarder/serve.go
+++ b/transport/forwarder/serve.go
@@ -149,7 +149,7 @@
 		writer:     newWriter(w, r), parts: identifyParts(service, d),
 	}
 	defer x.leaveTrial()
-	if denied := x.checkClosed(); denied != nil {
+	if denied := x.awaitOpen(ctx); denied != nil {
 		f.logAndRefuse(w, d, *denied, x.left())
 		return
 	}
