forwarder: Test that a drain ends the wait for an outage

TestDrainEndsTheWaitForAnOutage: requests that wait for runners which are down are refused at once when operators drain all data centres meanwhile.

--- a/transport/forwarder/evacuations_test.go
+++ b/transport/forwarder/evacuations_test.go
@@ -318,3 +318,21 @@
 		})
 	}
 }
+
+// TestDrainEndsTheWaitForAnOutage guards against requests that wait for runners which are down to return, although operators have drained
+// the data centres of all meanwhile.
+func TestDrainEndsTheWaitForAnOutage(t *testing.T) {
+	w := newDrainable(t, true, "z", "far")
+	w.setGroup(1, 70, false)
+	w.forwarder.RecordLoss("pool", w.Now())
+	var drainedAt atomic.Int64
+	time.AfterFunc(60*time.Millisecond, func() {
+		drainedAt.Store(int64(w.Now()))
+		w.drain("z", "far")
+	})
+	a := w.call()
+	took := w.Now() - time.Duration(drainedAt.Load())
+	if !isRefusedWithReturn(a) || a.Body.String() != "data-centres-drained\n" || took > 30*time.Millisecond+scheduling || w.runs() != 0 {
+		t.Errorf("status %d after %v: %s", a.Code, took, a.Body)
+	}
+}
