--- a/commands/hangup_test.go
+++ b/commands/hangup_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -25,15 +26,19 @@
 // callers. Its one runner answers with a stream of signalLines events, 50 ms apart.
 func startPlatformEntry(t *testing.T, output io.Writer) (command *exec.Cmd, address string) {
 	t.Helper()
-	command, address, _ = startPlatformEntryBefore(t, site.NewRunner("pool-a"), output)
+	command, address, _, _ = startPlatformEntryBefore(t, site.NewRunner("pool-a"), output, nil)
 	return command, address
 }
 
-// startPlatformEntryBefore does as startPlatformEntry with a runner named pool-a, and also returns the file with the settings.
-func startPlatformEntryBefore(t *testing.T, r *site.Runner, output io.Writer) (command *exec.Cmd, address, file string) {
+// startPlatformEntryBefore does as startPlatformEntry with a runner named pool-a and more settings, and also returns the file with the
+// settings and the store.
+func startPlatformEntryBefore(
+	t *testing.T, r *site.Runner, output io.Writer, more map[string]any,
+) (command *exec.Cmd, address, file string, store *site.Store) {
 	t.Helper()
 	r.Events, r.EventInterval = signalLines, 50*time.Millisecond
-	engine, store := httptest.NewServer(r), site.NewStore()
+	engine := httptest.NewServer(r)
+	store = site.NewStore()
 	t.Cleanup(engine.Close)
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
@@ -50,11 +55,13 @@
 	base, reserved, err := freeBase()
 	check(t, err)
 	t.Cleanup(func() { _ = reserved.Close() })
-	settings, err := json.Marshal(map[string]any{
+	values := map[string]any{
 		"role": "entry", "name": "entry-1", "centre": "z", "region": "r", "ip": "127.0.0.1", "store": server.Listener.Addr().String(),
 		"callers": loopback(base), "ready": loopback(base + 1), "lookup": loopback(base + 2), "internal": []int{base + 3},
 		"grace": "8s", "retries": 0.2, "slack": 10,
-	})
+	}
+	maps.Copy(values, more)
+	settings, err := json.Marshal(values)
 	check(t, err)
 	file = filepath.Join(t.TempDir(), "settings.jsonc")
 	check(t, os.WriteFile(file, settings, 0o600))
@@ -64,7 +71,7 @@
 	command.Args, command.Stderr = []string{"kingcupstiled", "serve", "--settings", file}, output
 	check(t, command.Start())
 	awaitStatus(t, "http://"+loopback(base+1)+"/kingcupstile/readyz", http.StatusOK)
-	return command, loopback(base), file
+	return command, loopback(base), file, store
 }
 
 func awaitStatus(t *testing.T, url string, want int) {
@@ -159,7 +166,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := site.NewRunner("pool-a")
 			r.PauseOftenOnBody("paused", pause, 1)
-			command, address, file := startPlatformEntryBefore(t, r, nil)
+			command, address, file, _ := startPlatformEntryBefore(t, r, nil, nil)
 			settings, err := os.ReadFile(file)
 			check(t, err)
 			others, stop := context.WithCancel(t.Context())
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -100,22 +100,31 @@
 	return d
 }
 
-func (d *deployment) start() {
-	d.launch()
+func (d *deployment) start() { d.startWith(func(*gateway.Dependencies) {}) }
+
+// startWith starts the entry with changed dependencies, and waits until it is ready.
+func (d *deployment) startWith(change func(*gateway.Dependencies)) {
+	d.launchWith(change)
 	d.await("ready", func() bool { return d.status("http://"+d.settings.Ready+"/kingcupstile/readyz") == http.StatusOK })
 }
 
 // launch starts the entry and does not wait until it is ready.
-func (d *deployment) launch() {
+func (d *deployment) launch() { d.launchWith(func(*gateway.Dependencies) {}) }
+
+// launchWith does the same with changed dependencies.
+func (d *deployment) launchWith(change func(*gateway.Dependencies)) {
 	log := slog.New(slog.DiscardHandler)
 	client, codec := platform.NewClient(d.settings.Store), translator.PeerCodec{}
 	var stop context.Context
 	stop, d.stop = context.WithCancel(context.Background())
-	g := gateway.New(d.settings, gateway.Dependencies{
+	dependencies := gateway.Dependencies{
 		Config: platform.Config(client, log), Runners: platform.Runners(client, log), Entries: platform.Entries(client, codec, log),
-		Registry: platform.EntryRegistry(client, codec), Dialect: platform.Dialect{}, Clock: timekeeper.Clock{},
+		Evacuations: platform.Evacuations(client, log),
+		Registry:    platform.EntryRegistry(client, codec), Dialect: platform.Dialect{}, Clock: timekeeper.Clock{},
 		Lookup: platform.Lookup(time.Second), Ready: platform.Ready,
-	}, log)
+	}
+	change(&dependencies)
+	g := gateway.New(d.settings, dependencies, log)
 	ended := make(chan error, 1)
 	d.ended = ended
 	go func() { ended <- g.Run(stop) }()
