platform, runner, routing: Read how long runners stay cold, and what cold ones can bear

Registrations give the time that was left when they were written. It is counted from when a registration is first read, once for all feeds of a process, so that equal registrations give equal runners.

--- a/state/demand/demand.go
+++ b/state/demand/demand.go
@@ -67,6 +67,9 @@
 	// it gave a time that cannot be read, in place of which RetryAfter is a default.
 	Refused, HasInvalidRetryAfter bool
 	RetryAfter                    time.Duration
+	// Cold is how long the runner stays cold, 0 if it is warm, and HasCold whether the answer says so.
+	Cold    time.Duration
+	HasCold bool
 	// Sealed reports that the answer carries the runner's seal, and so comes from the runner itself.
 	Sealed bool
 }
--- a/state/routing/service.go
+++ b/state/routing/service.go
@@ -45,11 +45,21 @@
 // HasExperts reports whether the service's runners are ranks of groups that distribute experts among them.
 func (e Engine) HasExperts() bool { return e.Sets > 0 && e.Experts > 0 }
 
+// Cold describes the runners of a service that were started lately.
+type Cold struct {
+	// PerSecond is how many requests a second a cold runner can bear, 0 if that is not known.
+	PerSecond float64
+	// Period is how long a runner is cold after it starts, 0 if that is not known.
+	Period time.Duration
+}
+
 // Service is a set of runners that answer the same requests.
 type Service struct {
 	name        string
 	connections int
 	engine      Engine
+	cold        Cold
+	healthPath  string
 }
 
 // NewService returns a service whose runners each accept a number of connections, 0 for any number, and perform as
@@ -67,6 +77,24 @@
 // Engine returns the performance of the runners, the zero value for services that do not describe it.
 func (s Service) Engine() Engine { return s.engine }
 
+// WithCold returns the service with what cold runners can bear.
+func (s Service) WithCold(c Cold) Service {
+	s.cold = c
+	return s
+}
+
+// Cold returns what cold runners can bear, the zero value if that is not known.
+func (s Service) Cold() Cold { return s.cold }
+
+// WithHealthPath returns the service with the path at which its runners answer health checks.
+func (s Service) WithHealthPath(path string) Service {
+	s.healthPath = path
+	return s
+}
+
+// HealthPath returns the path at which runners answer health checks, empty if that is not known.
+func (s Service) HealthPath() string { return s.healthPath }
+
 // Limits bounds the size and duration of callers' requests.
 type Limits struct {
 	// MaxHeaderBytes and MaxBodyBytes are the largest sizes of a request's header and body, in bytes.
--- a/state/runner/runner.go
+++ b/state/runner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -26,6 +27,7 @@
 	slots          int
 	startedAt      int64
 	weightsVersion int
+	warmAt         time.Duration
 }
 
 // Option sets a field of a Runner under construction.
@@ -65,6 +67,13 @@
 	return r
 }
 
+// WithWarmAt returns the runner with the time at which it is warm, on the clock of the process that read the registration, 0 if it does
+// not say that it is cold.
+func (r Runner) WithWarmAt(at time.Duration) Runner {
+	r.warmAt = at
+	return r
+}
+
 // IncarnationKey returns a 32-bit hash of an identifier and a start time in Unix milliseconds, 0 if unknown, which tells the
 // starts of a runner under one identifier apart.
 func IncarnationKey(id string, startedAt int64) uint32 {
@@ -97,3 +106,6 @@
 
 // WeightsVersion returns the version of the model weights that the runner serves, 0 if unknown.
 func (r Runner) WeightsVersion() int { return r.weightsVersion }
+
+// ColdLeft returns for how long the runner stays cold by its registration, 0 if it is warm.
+func (r Runner) ColdLeft(now time.Duration) time.Duration { return max(0, r.warmAt-now) }
