--- a/protocol/parser/place.go
+++ b/protocol/parser/place.go
@@ -36,6 +36,10 @@
 	// RetryRatio and RetryBurst bound retries within a window: as a fraction of the requests, plus a number of retries.
 	RetryRatio float64 `json:"retries" min:"0"`
 	RetryBurst float64 `json:"slack" min:"0"`
+	// ColdOverage and ColdSlack bound the requests that a cold runner gets in a second, over all entries: what it can bear times the
+	// overage, plus the slack. At an overage of 0 they are not bounded.
+	ColdOverage float64 `json:"cold" min:"0"`
+	ColdSlack   float64 `json:"coldslack" min:"0"`
 	// Memory is how many MB of memory the process may use, 0 if that is not known.
 	Memory int `json:"memory" min:"0"`
 	// Weight is the weight of load skew against the cost of moving experts, in hundredths.
--- a/protocol/parser/place_test.go
+++ b/protocol/parser/place_test.go
@@ -39,6 +39,8 @@
 		"ports":    {`[7340, 7355]`, `[]`, "internal"},
 		"unknown":  {`"ip"`, `"zap": 1, "ip"`, "zap"},
 		"syntax":   {`{`, `[`, "place:"},
+		"cold":     {`"ip"`, `"cold": -1, "ip"`, "cold"},
+		"slack":    {`"ip"`, `"coldslack": "5", "ip"`, "coldslack"},
 		"duration": {`"ip"`, `"grace": "soon", "ip"`, "grace"},
 	} {
 		t.Run(name, func(t *testing.T) {
