--- a/coordination/reserver/reserver_test.go
+++ b/coordination/reserver/reserver_test.go
@@ -50,3 +50,42 @@
 		t.Error("an old report counts as known")
 	}
 }
+
+// TestRecentAnnouncements guards against a count that a report of the runner resets, as the open requests are, and against one that
+// includes announcements of more than a second ago. Where cold runners are not tracked, there is no count.
+func TestRecentAnnouncements(t *testing.T) {
+	plain, b := reserver.Book{}, reserver.Book{}.WithCold().WithStatement(3*time.Second, 0)
+	for n := range 20 {
+		at := time.Duration(n) * 100 * ms
+		plain, b = plain.WithAnnounced(at), b.WithAnnounced(at)
+	}
+	plain, b = plain.WithReport(rank.Load{Open: 1}, 1950*ms), b.WithReport(rank.Load{Open: 1}, 1950*ms)
+	if got, _ := b.Load(1950*ms, time.Second); got.Recent != 10 || got.Open != 1 || got.Cold != 1050*ms {
+		t.Errorf("%+v, want 10 recent ones", got)
+	}
+	if got, _ := b.Load(2850*ms, time.Second); got.Recent != 1 {
+		t.Errorf("%+v, want 1 recent one", got)
+	}
+	if got, _ := plain.Load(1950*ms, time.Second); got != (rank.Load{Open: 1}) {
+		t.Errorf("%+v where cold runners are not tracked", got)
+	}
+}
+
+// TestColdByAnswersAndRegistration guards against a registration that is old and ends what the runner itself says, and the reverse.
+func TestColdByAnswersAndRegistration(t *testing.T) {
+	r := reserver.New()
+	r.TrackCold()
+	r.RecordRegistration(2 * time.Second)
+	r.RecordStatement(0, 100*ms)
+	if got := r.Cold(time.Second); got != time.Second {
+		t.Errorf("cold for %v by the registration", got)
+	}
+	r.RecordStatement(4*time.Second, 200*ms)
+	if got := r.Cold(time.Second); got != 3200*ms {
+		t.Errorf("cold for %v by the answer", got)
+	}
+	r.RecordStatement(-time.Second, 300*ms)
+	if got := r.Cold(3 * time.Second); got != 0 {
+		t.Errorf("cold for %v after both ended", got)
+	}
+}
--- a/protocol/messenger/probe.go
+++ b/protocol/messenger/probe.go
@@ -1,6 +1,9 @@
 package messenger
 
 import (
+	"math"
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/kingcupstile/kingcupstile"
@@ -41,6 +44,7 @@
 func EncodeProbeReply(r ProbeReply) ([]byte, error) {
 	return proto.Marshal(&wire.LoadReply{
 		Id: r.ID, Open: uint32(max(0, r.Load.Open)), Epoch: r.Load.Epoch, Step: r.Load.Step, Formed: r.Load.GroupOpen,
+		Cold: coldMilliseconds(r.Load.Cold), Recent: uint32(min(max(0, r.Load.Recent), math.MaxUint32)),
 	})
 }
 
@@ -52,5 +56,12 @@
 	}
 	return ProbeReply{ID: m.GetId(), Load: rank.Load{
 		Open: int(m.GetOpen()), Epoch: m.GetEpoch(), Step: m.GetStep(), GroupOpen: m.GetFormed(),
+		Cold: time.Duration(m.GetCold()) * time.Millisecond, Recent: int(m.GetRecent()),
 	}}, nil
 }
+
+// coldMilliseconds returns how long a runner stays cold, rounded up, so that one that is cold is not taken for a warm one.
+func coldMilliseconds(d time.Duration) uint32 {
+	ms := (max(0, d) + time.Millisecond - 1) / time.Millisecond
+	return uint32(min(ms, math.MaxUint32))
+}
