--- a/protocol/messenger/probe_test.go
+++ b/protocol/messenger/probe_test.go
@@ -17,7 +17,8 @@
 		{rank.Load{Cold: 1500 * time.Millisecond, Recent: 17}, rank.Load{Cold: 1500 * time.Millisecond, Recent: 17}},
 		{rank.Load{Cold: time.Microsecond}, rank.Load{Cold: time.Millisecond}},
 		{rank.Load{Cold: -time.Second, Recent: -3}, rank.Load{}},
-		{rank.Load{Cold: math.MaxInt64 - time.Second, Recent: math.MaxInt}, rank.Load{Cold: math.MaxUint32 * time.Millisecond, Recent: math.MaxUint32}},
+		{rank.Load{Cold: math.MaxInt64 - time.Second, Recent: math.MaxInt},
+			rank.Load{Cold: math.MaxUint32 * time.Millisecond, Recent: math.MaxUint32}},
 	} {
 		datagram, err := messenger.EncodeProbeReply(messenger.ProbeReply{ID: 7, Load: test.sent})
 		if err != nil {
