--- a/commands/serve.go
+++ b/commands/serve.go
@@ -82,11 +82,13 @@
 func servePlatform(stop context.Context, settings parser.PlatformSettings, log *slog.Logger) error {
 	metrics := meter.New()
 	client, codec := platform.NewClient(settings.Store, platform.Observe(countCalls(metrics))), translator.PeerCodec{}
-	config, runners := platform.Config(client, log), platform.Runners(client, log)
+	warming := warmingOption(settings)
+	config, runners := platform.Config(client, log), platform.Runners(client, log, warming)
 	if settings.Role == "endpoint" {
 		return caretaker.New(settings, caretaker.Dependencies{
 			Config: config, Runners: runners, Clock: timekeeper.Clock{}, Meter: metrics,
 			Worker: func(address string) kingcupstile.Worker { return platform.NewWorker(address) },
+			Health: func(address string) kingcupstile.HealthChecker { return platform.NewHealthChecker(address) },
 		}, log).Run(stop)
 	}
 	replica := platform.NewReplica()
@@ -98,7 +100,7 @@
 		Copies: func(address string) gateway.Copies {
 			near := platform.NewClient(address, platform.ForReplica())
 			return gateway.Copies{
-				Config: platform.Config(near, log).WithReplica(replica), Runners: platform.Runners(near, log).WithReplica(replica),
+				Config: platform.Config(near, log).WithReplica(replica), Runners: platform.Runners(near, log, warming).WithReplica(replica),
 				Entries: platform.Entries(near, codec, log).WithReplica(replica),
 			}
 		},
@@ -111,6 +113,14 @@
 	}, log).Run(stop)
 }
 
+// warmingOption returns the option by which runners say when they are warm, where the load of cold ones is limited.
+func warmingOption(settings parser.PlatformSettings) platform.RunnersOption {
+	if settings.ColdOverage <= 0 {
+		return platform.Cold(nil)
+	}
+	return platform.Cold(platform.NewWarmTimes(timekeeper.Clock{}))
+}
+
 // countCalls returns a function that counts the calls to the store.
 func countCalls(m *meter.Meter) func(method, kind string, outcome kingcupstile.Kind) {
 	return func(method, kind string, outcome kingcupstile.Kind) {
--- a/transport/caretaker/caretaker.go
+++ b/transport/caretaker/caretaker.go
@@ -43,6 +43,9 @@
 	Clock   kingcupstile.Clock
 	// Worker returns a client of the rank at an IP address and port.
 	Worker func(address string) kingcupstile.Worker
+	// Health returns a client for health checks of the runner at an IP address and port. It is needed only where the load of cold
+	// runners is limited.
+	Health func(address string) kingcupstile.HealthChecker
 	// Meter keeps the metrics; if it is nil, the process has one of its own.
 	Meter *meter.Meter
 }
@@ -114,6 +117,10 @@
 		return fault.New("listen", KindListen, err)
 	}
 	go prober.Serve(stop, socket, c.book, c.deps.Clock.Now, c.log)
+	if c.settings.ColdOverage > 0 && c.deps.Health != nil {
+		c.book.TrackCold()
+		go c.watchCold(stop)
+	}
 	c.log.Info("endpoint process starts", "engine", c.settings.Engine, "service", c.settings.Service)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -290,6 +297,7 @@
 		c.log.Warn("configuration or runners cannot be read; keeping the last known runners", "error", err)
 		return
 	}
+	c.recordRegistration(list)
 	service, found := tables.Items[0].Service(c.settings.Service)
 	if !found {
 		c.log.Warn("service not found in the configuration; keeping the last known runners", "service", c.settings.Service)
