forwarder, gateway: Limit what cold runners get

Each runner that is cold by its registration, its answers or the process beside it gets no more requests once it was announced what it can bear in a second, and uses its slots in steps. Where nothing answers, the entry keeps to its share. Entries that hear too few others to probe each request ask a cold runner before they send to it. Nothing changes without the setting cold.

--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -55,6 +55,7 @@
 	disconnects   int
 	leaving       bool
 	retryAfter    string
+	cold          string
 	crashBody     string
 	lateCrashBody string
 	onCrash       func()
@@ -93,6 +94,13 @@
 	r.retryAfter = text
 }
 
+// SetCold sets the header of all answers that says how many milliseconds the runner stays cold; it is left out if the text is empty.
+func (r *Runner) SetCold(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cold = text
+}
+
 // CrashOnBody makes the runner reset the connection of each request with this body before it answers, as a crash does.
 func (r *Runner) CrashOnBody(body string) {
 	r.mu.Lock()
@@ -188,6 +196,9 @@
 	if r.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	if r.cold != "" {
+		w.Header().Set("X-Cold-Ms", r.cold)
+	}
 	if want := q.Header.Get("X-Expect-Instance"); want != "" && want != r.id {
 		r.mu.Unlock()
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	dialect    kingcupstile.Dialect
 	tracker    *placer.Tracker
 	prober     kingcupstile.Prober
+	cold       coldRunners
 	retrier    kingcupstile.Retrier
 	retryShare float64
 	log        *slog.Logger
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -200,6 +200,9 @@
 		f.scope.Counter("invalid_retry_after").Inc(1)
 		f.log.Warn("runner gave a Retry-After that cannot be read; taking the default", "runner", r.ID(), "default", reply.RetryAfter)
 	}
+	if reply.HasCold && !reply.Misdirected && f.cold.overage > 0 {
+		f.cold.warmer.RecordStatement(r.ID(), reply.Cold, now)
+	}
 	if reply.Refused {
 		f.tracker.RecordRest(r.ID(), reply.RetryAfter, now)
 	}
--- a/transport/forwarder/place.go
+++ b/transport/forwarder/place.go
@@ -38,6 +38,12 @@
 func (x *exchange) place(ctx context.Context, until time.Duration) (runner.Runner, room) {
 	for {
 		chosen, found := x.choose(ctx, until)
+		if found == roomCold {
+			if x.awaitCold(ctx, until) {
+				continue
+			}
+			return chosen, roomFull
+		}
 		if found != roomFound || x.forwarder.tracker.Admit(chosen.ID(), x.forwarder.clock.Now()) {
 			return chosen, found
 		}
@@ -60,7 +66,7 @@
 			return runner.Runner{}, roomFull
 		}
 		if !f.IsProbed(state, x.service, len(heartbeats)+1) {
-			return placed(view.Place(runners, request))
+			return x.placeUnasked(ctx, view, runners, request)
 		}
 		sample := placer.Sample(runners, request.WithAvoided(tried))
 		if len(sample) == 0 {
@@ -73,15 +79,14 @@
 		switch {
 		case !known:
 			// Nothing is known of the load, which is no reason to refuse.
-			return placed(view.Place(runners, request))
+			return x.placeUnasked(ctx, view, runners, request)
 		case !f.takesWork(best):
 			// The runner began to drain while the probe was under way.
 			if ctx.Err() != nil {
 				return best, roomNone
 			}
-		case hasRoom:
+		case hasRoom && x.announce(best):
 			x.gate.RecordRoom(urgency, now-since, true, now)
-			f.prober.Announce(best.Address())
 			return best, roomFound
 		default:
 			// Room comes up as a pass ends, which is when events come.
@@ -151,7 +156,7 @@
 	scope.Counter("probes").Inc(int64(len(sample)))
 	scope.Counter("probes_unanswered").Inc(int64(len(sample) - len(probed)))
 	return view.Choose(probed, request, func(r runner.Runner) int {
-		return level.AllowedPart(part, r.Slots(), roundingOffset(r))
+		return x.allowedWhileCold(r, loads[r.Address()], level.AllowedPart(part, r.Slots(), roundingOffset(r)), now)
 	})
 }
 
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -139,7 +139,7 @@
 		forwarder.Log(g.log), forwarder.Metrics(scope), forwarder.Tracker(g.tracker),
 		forwarder.Report(g.send),
 		forwarder.Retries(retrier.New(retrier.BurstFunc(g.retryBurst)), retryRatioShare*g.settings.RetryRatio),
-		forwarder.Probes(probes),
+		forwarder.Probes(probes), g.coldOption(),
 	)
 	config := sourcer.New(g.platform.Config, nearby(g, func(c Copies) kingcupstile.Feed[routing.Table] { return c.Config }))
 	g.config = follower.New(config, g.platform.Clock, configSink{g}, follower.WatchWait[routing.Table](g.configWait),
@@ -324,3 +324,11 @@
 		}()
 	}
 }
+
+// coldOption returns the option that limits the load of cold runners, which does nothing unless the settings ask for it.
+func (g *Gateway) coldOption() forwarder.Option {
+	if g.settings.ColdOverage <= 0 {
+		return func(*forwarder.Forwarder) {}
+	}
+	return forwarder.Cold(g.settings.ColdOverage, g.settings.ColdSlack)
+}
