--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -80,6 +80,14 @@
 
 // newDeploymentWith returns a deployment whose entry has some time to stop, and whose routes have an objective in ms.
 func newDeploymentWith(t *testing.T, grace time.Duration, goal int) *deployment {
+	t.Helper()
+	d := arrangeDeployment(t, grace, goal)
+	d.start()
+	return d
+}
+
+// arrangeDeployment returns a deployment whose entry is yet to be started.
+func arrangeDeployment(t *testing.T, grace time.Duration, goal int) *deployment {
 	t.Helper()
 	d := &deployment{
 		t: t, goal: goal, store: site.NewStore(), runners: map[string]*site.Runner{}, addresses: map[string]string{}, ended: make(chan error, 1),
@@ -97,7 +105,6 @@
 		Callers: addresses[0], Ready: addresses[1], Lookup: addresses[2], InternalPorts: []int{freePort(t)},
 		Grace: grace, RevocationTime: revoke, RetryRatio: 0.2, RetryBurst: 90,
 	}
-	d.start()
 	return d
 }
 
