--- a/coordination/reserver/reserver_test.go
+++ b/coordination/reserver/reserver_test.go
@@ -50,3 +50,57 @@
 		t.Error("an old report counts as known")
 	}
 }
+
+// TestRecentAnnouncements guards against a count that a report of the runner resets, as the open requests are, and against one that
+// includes announcements of more than a second ago. Where cold runners are not tracked, there is no count.
+func TestRecentAnnouncements(t *testing.T) {
+	plain, b := reserver.Book{}, reserver.Book{}.WithCold().WithStatement(3*time.Second, 0)
+	for n := range 20 {
+		at := time.Duration(n) * 100 * ms
+		plain, b = plain.WithAnnounced(at), b.WithAnnounced(at)
+	}
+	plain, b = plain.WithReport(rank.Load{Open: 1}, 1970*ms), b.WithReport(rank.Load{Open: 1}, 1970*ms)
+	if got, _ := b.Load(1970*ms, time.Second); got.Recent != 10 || got.Open != 1 || got.Cold != 1030*ms {
+		t.Errorf("%+v, want 10 recent ones", got)
+	}
+	if got, _ := b.Load(2850*ms, time.Second); got.Recent != 1 {
+		t.Errorf("%+v, want 1 recent one", got)
+	}
+	if got, _ := plain.Load(1970*ms, time.Second); got != (rank.Load{Open: 1}) {
+		t.Errorf("%+v where cold runners are not tracked", got)
+	}
+}
+
+// TestColdByAnswersAndRegistration guards against a registration that is old and ends what the runner itself says, and the reverse.
+func TestColdByAnswersAndRegistration(t *testing.T) {
+	r := reserver.New()
+	r.TrackCold()
+	r.RecordRegistration(2 * time.Second)
+	r.RecordStatement(0, 100*ms)
+	if got := r.Cold(time.Second); got != time.Second {
+		t.Errorf("cold for %v by the registration", got)
+	}
+	r.RecordStatement(4*time.Second, 200*ms)
+	if got := r.Cold(time.Second); got != 3200*ms {
+		t.Errorf("cold for %v by the answer", got)
+	}
+	r.RecordStatement(-time.Second, 300*ms)
+	if got := r.Cold(3 * time.Second); got != 0 {
+		t.Errorf("cold for %v after both ended", got)
+	}
+}
+
+// TestColdRunnerIsNotOvercommitted guards against a request to a cold runner that is in no count for a moment, as it comes later than
+// requests to runners with open connections: reports drop its announcement only after a longer time.
+func TestColdRunnerIsNotOvercommitted(t *testing.T) {
+	b := reserver.Book{}.WithCold().WithStatement(3*time.Second, 0).WithReport(rank.Load{}, 100*ms).WithAnnounced(110 * ms)
+	if got, _ := b.WithReport(rank.Load{}, 140*ms).Load(141*ms, time.Second); got.Open != 1 {
+		t.Errorf("%+v 30 ms after the announcement", got)
+	}
+	if got, _ := b.WithReport(rank.Load{Open: 1}, 180*ms).Load(181*ms, time.Second); got.Open != 1 {
+		t.Errorf("%+v 70 ms after the announcement", got)
+	}
+	if got, _ := b.WithStatement(0, 120*ms).WithReport(rank.Load{}, 140*ms).Load(141*ms, time.Second); got.Open != 0 {
+		t.Errorf("%+v of a warm runner 30 ms after the announcement", got)
+	}
+}
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -38,7 +38,9 @@
 	// addresses are the runners' IP addresses and ports by their identifiers.
 	addresses map[string]string
 	settings  parser.PlatformSettings
-	stop      context.CancelFunc
+	// runnersOptions are those of the feed of runners.
+	runnersOptions []platform.RunnersOption
+	stop           context.CancelFunc
 	// ended receives the result of Gateway.Run.
 	ended   chan error
 	version int
@@ -79,6 +81,14 @@
 
 // newDeploymentWith returns a deployment whose entry has some time to stop, and whose routes have an objective in ms.
 func newDeploymentWith(t *testing.T, grace time.Duration, goal int) *deployment {
+	t.Helper()
+	d := arrangeDeployment(t, grace, goal)
+	d.start()
+	return d
+}
+
+// arrangeDeployment returns a deployment whose entry is yet to be started.
+func arrangeDeployment(t *testing.T, grace time.Duration, goal int) *deployment {
 	t.Helper()
 	d := &deployment{
 		t: t, goal: goal, store: site.NewStore(), runners: map[string]*site.Runner{}, addresses: map[string]string{},
@@ -96,7 +106,6 @@
 		Callers: addresses[0], Ready: addresses[1], Lookup: addresses[2], InternalPorts: []int{freePort(t)},
 		Grace: grace, RevocationTime: revoke, RetryRatio: 0.2, RetryBurst: 90,
 	}
-	d.start()
 	return d
 }
 
@@ -118,7 +127,8 @@
 	var stop context.Context
 	stop, d.stop = context.WithCancel(context.Background())
 	dependencies := gateway.Dependencies{
-		Config: platform.Config(client, log), Runners: platform.Runners(client, log), Entries: platform.Entries(client, codec, log),
+		Config: platform.Config(client, log), Runners: platform.Runners(client, log, d.runnersOptions...),
+		Entries:     platform.Entries(client, codec, log),
 		Evacuations: platform.Evacuations(client, log),
 		Registry:    platform.EntryRegistry(client, codec), Dialect: platform.Dialect{}, Clock: timekeeper.Clock{},
 		Lookup: platform.Lookup(time.Second), Ready: platform.Ready,
@@ -194,7 +204,7 @@
 		},
 		"services": []any{
 			map[string]any{"name": "pool", "maxConns": 100, "engine": map[string]any{"slots": 4, "stride": 4, "step_ms": 1}},
-			map[string]any{"name": "desk", "maxConns": 100},
+			map[string]any{"name": "desk", "maxConns": 100, "coldPerS": 2, "coldS": 3.0},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1024, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
