--- a/state/routing/service.go
+++ b/state/routing/service.go
@@ -50,6 +50,13 @@
 	name        string
 	connections int
 	engine      Engine
+	delays      []Delay
+}
+
+// Delay is the delay of the link from one data centre to another.
+type Delay struct {
+	From, Target string
+	Delay        time.Duration
 }
 
 // NewService returns a service whose runners each accept a number of connections, 0 for any number, and perform as
@@ -58,6 +65,35 @@
 	return Service{name: name, connections: connections, engine: engine}
 }
 
+// WithDelays returns the service with the delays of the links between the data centres that its runners are in.
+func (s Service) WithDelays(delays ...Delay) Service {
+	s.delays = delays
+	return s
+}
+
+// RoundTrip returns how long the way between two data centres and back takes, 0 if that is not known. Of a link whose other direction
+// is not given, both take as long.
+func (s Service) RoundTrip(from, target string) time.Duration {
+	there, hasThere := s.delay(from, target)
+	back, hasBack := s.delay(target, from)
+	switch {
+	case !hasThere:
+		return 2 * back
+	case !hasBack:
+		return 2 * there
+	}
+	return there + back
+}
+
+func (s Service) delay(from, target string) (time.Duration, bool) {
+	for _, d := range s.delays {
+		if d.From == from && d.Target == target {
+			return max(0, d.Delay), true
+		}
+	}
+	return 0, false
+}
+
 // Name returns the service's name.
 func (s Service) Name() string { return s.name }
 
