parser: Read the cost of traffic between data centres

The settings key transfer of an entry gives it as the milliseconds for which one caller may wait for a megabyte. Missing or 0 keeps the fixed weights. platform/settings.tmpl does not set it yet, and nothing uses it yet.

TestTransferCost; protocol/parser passes with the race detector.

--- a/protocol/parser/place.go
+++ b/protocol/parser/place.go
@@ -36,6 +36,9 @@
 	// RetryRatio and RetryBurst bound retries within a window: as a fraction of the requests, plus a number of retries.
 	RetryRatio float64 `json:"retries" min:"0"`
 	RetryBurst float64 `json:"slack" min:"0"`
+	// Transfer is the cost of a megabyte sent between data centres, in milliseconds for which one caller may wait instead; at 0, fixed
+	// weights decide when requests go to other data centres.
+	Transfer float64 `json:"transfer" min:"0"`
 	// Memory is how many MB of memory the process may use, 0 if that is not known.
 	Memory int `json:"memory" min:"0"`
 	// Weight is the weight of load skew against the cost of moving experts, in hundredths.
--- a/protocol/parser/place_test.go
+++ b/protocol/parser/place_test.go
@@ -26,6 +26,21 @@
 	}
 }
 
+// TestTransferCost guards against a cost where the settings give none, and against settings that are taken although it makes no sense.
+func TestTransferCost(t *testing.T) {
+	for text, want := range map[string]float64{``: 0, `"transfer": 0,`: 0, `"transfer": 2500.5,`: 2500.5} {
+		p, err := parser.ParsePlatformSettings("place", []byte(strings.Replace(place, `"role"`, text+`"role"`, 1)))
+		if err != nil || p.Transfer != want {
+			t.Errorf("%s: cost %v, %v", text, p.Transfer, err)
+		}
+	}
+	for _, text := range []string{`"transfer": -1,`, `"transfer": "high",`} {
+		if _, err := parser.ParsePlatformSettings("place", []byte(strings.Replace(place, `"role"`, text+`"role"`, 1))); err == nil {
+			t.Errorf("%s is accepted", text)
+		}
+	}
+}
+
 func TestParsePlace(t *testing.T) {
 	p, err := parser.ParsePlatformSettings("place", []byte(place))
 	if err != nil || p.InternalPorts[0] != 7340 || p.MaxKeyAge().Seconds() != 4.5 {
