localizer, placer: Decide by gain and cost when requests go to another data centre

With fixed weights, requests leave because a runner elsewhere has two open requests fewer, which saves nobody time and costs traffic. The localizer weighs what waiting at home costs callers against the bytes at their cost, and moves a share for each other data centre with hysteresis. placer uses its plan in Sample and Choose where there is one, and takes the present path otherwise.

TestRequestsLeaveWhereItPays replays six loads at two costs against the fixed weights. Packages pass with the race detector.

--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/kingcupstile/kingcupstile/coordination/localizer"
 	"github.com/kingcupstile/kingcupstile/state/peer"
 	"github.com/kingcupstile/kingcupstile/state/runner"
 )
@@ -39,6 +40,8 @@
 	Centre string
 	// Avoid are the IDs of runners that must not get the request.
 	Avoid []string
+	// Plan says which runners in other data centres are probed and may be chosen; the zero value leaves that to fixed weights.
+	Plan localizer.Plan
 }
 
 // Load returns a runner's load in equivalent open requests: those of all entries, their unread prompt tokens and the
--- a/coordination/placer/probe.go
+++ b/coordination/placer/probe.go
@@ -32,6 +32,9 @@
 // Sample returns some runners to probe for a request, drawn at random: most from the entry's own data centre. It returns
 // fewer, or none, if hardly any takes new work.
 func Sample(runners []runner.Runner, request Request) []runner.Runner {
+	if request.Plan.IsOn() {
+		return samplePlanned(runners, request)
+	}
 	var near []runner.Runner
 	for _, r := range runners {
 		if r.Centre() == request.Centre {
@@ -67,6 +70,9 @@
 // Choose returns the runner with the lowest load per slot, and whether it has room for one more request: fewer open than
 // allowed says. Runners with room come before others. It returns false for found if there is no runner.
 func (v View) Choose(list []Probed, request Request, allowed func(runner.Runner) int) (best runner.Runner, hasRoom, found bool) {
+	if request.Plan.IsOn() {
+		return v.choosePlanned(list, request, allowed)
+	}
 	lowest := 0.0
 	for _, p := range list {
 		f := v.failures[p.Runner.ID()]
