forwarder, gateway: Send requests to other data centres where it pays

With the settings key transfer, each round of probes follows the plan of the localizer, which learns from all replies; a runner is still asked for room before a request is sent. Counters spill_requests and spill_bytes and the gauge spill_share, by service and data centre, and one log line for each large change of a share. Without the key nothing of this runs (TestTransferCostDecidesWhoLeaves).

--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -52,6 +52,8 @@
 	restEnd time.Duration
 	// identity is the request's fingerprint, empty until it is first needed.
 	identity suspect.Fingerprint
+	// spill is what is known of the request's way between data centres.
+	spill spill
 	// denied is the refusal that forbids any further attempt, nil if there is none.
 	denied *refusal
 	// lastFailure is why the last attempt failed, for the log.
@@ -189,6 +191,7 @@
 // forward writes a frame to the caller and reports whether the exchange is over: the answer is complete or the caller
 // is gone.
 func (x *exchange) forward(f attempt.Frame) bool {
+	x.recordSpilled(f)
 	if f.IsLast() {
 		x.forwarder.tracker.ClearFailures(x.runner.ID())
 		if isSuccess(x.writer.status) {
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/coordination/budgeter"
 	"github.com/kingcupstile/kingcupstile/coordination/estimator"
+	"github.com/kingcupstile/kingcupstile/coordination/localizer"
 	"github.com/kingcupstile/kingcupstile/coordination/overseer"
 	"github.com/kingcupstile/kingcupstile/coordination/pacer"
 	"github.com/kingcupstile/kingcupstile/coordination/placer"
@@ -43,6 +44,10 @@
 	gates sync.Map
 	// outages holds the *breaker.Switch of each service by its name.
 	outages sync.Map
+	// transfer is the cost of a megabyte between data centres, in milliseconds for which one caller may wait instead, 0 where fixed
+	// weights decide; localizers holds what decides otherwise.
+	transfer   float64
+	localizers *localizer.Book
 	// budgeter bounds what requests and answers take together.
 	budgeter *budgeter.Budgeter
 	inFlight atomic.Int64
@@ -73,6 +78,10 @@
 // Probes sets what asks for the load of runners before requests are sent to them, where entries are many.
 func Probes(p kingcupstile.Prober) Option { return func(f *Forwarder) { f.prober = p } }
 
+// Transfer sets the cost of a megabyte between data centres, in milliseconds for which one caller may wait instead. At 0, fixed weights
+// decide when requests go to other data centres.
+func Transfer(cost float64) Option { return func(f *Forwarder) { f.transfer = cost } }
+
 // Memory sets how many bytes of memory the process may use, of which requests and answers get a part.
 func Memory(bytes int64) Option {
 	return func(f *Forwarder) { f.budgeter = budgeter.New(bytes) }
@@ -97,6 +106,7 @@
 		report: func(overseer.Event) {}, trials: quarantiner.NewTrials(quarantiner.Since(clock.Now())),
 		estimates: estimator.NewBook(), retryShare: defaultRetryShare,
 		log: slog.New(slog.DiscardHandler), scope: tally.NoopScope, budgeter: budgeter.New(defaultMemory),
+		localizers: localizer.NewBook(),
 	}
 	f.refusing, f.refuseAll = context.WithCancel(context.Background())
 	f.ending, f.endRequests = context.WithCancel(context.Background())
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -86,6 +86,7 @@
 	c := &call{exchange: x, runner: r, timeout: timeout, arrivals: make(chan arrival, 1), sentAt: x.forwarder.clock.Now()}
 	c.isWhole = x.lastEvent == 0 && x.request.LastEvent == ""
 	c.ctx, c.cancel = context.WithCancel(ctx)
+	x.countSpill(r)
 	c.promptRead, c.done = x.forwarder.tracker.Begin(r.ID(), x.request.PromptTokens)
 	if len(x.parts) > 0 {
 		x.forwarder.unanswered.Store(c, struct{}{})
--- a/transport/forwarder/place.go
+++ b/transport/forwarder/place.go
@@ -62,6 +62,7 @@
 		if !f.IsProbed(state, x.service, len(heartbeats)+1) {
 			return placed(view.Place(runners, request))
 		}
+		request.Plan = x.plan(runners, since, until)
 		sample := placer.Sample(runners, request.WithAvoided(tried))
 		if len(sample) == 0 {
 			tried, sample = nil, placer.Sample(runners, request)
@@ -84,8 +85,7 @@
 			f.prober.Announce(best.Address())
 			return best, roomFound
 		default:
-			// Room comes up as a pass ends, which is when events come.
-			interval := max(minProbeInterval, x.gate.Pace().MeanGap())
+			interval := x.probeInterval()
 			if now+max(interval, x.gate.Vacancy(urgency).Wait(now)) >= until || !pauser.Wait(ctx, interval) {
 				x.gate.RecordRoom(urgency, now-since, false, now)
 				return best, roomFull
@@ -94,6 +94,11 @@
 	}
 }
 
+// probeInterval returns the time between two rounds of probes: room comes up as a pass ends, which is when events come.
+func (x *exchange) probeInterval() time.Duration {
+	return max(minProbeInterval, x.gate.Pace().MeanGap())
+}
+
 // nextRestEnd returns when the first runner wants requests again if all that take new work and were not tried yet want none
 // now, else 0.
 func (x *exchange) nextRestEnd(runners []runner.Runner, now time.Duration) time.Duration {
@@ -144,6 +149,7 @@
 			x.gate.RecordProbe(l.Open, r.Slots(), roundingOffset(r), now)
 		}
 	}
+	x.recordRoom(sample, loads, now)
 	level, part := x.gate.Level(), x.gate.Part(x.access.urgency, now)
 	scope := x.forwarder.scope.Tagged(map[string]string{"service": x.service})
 	scope.Gauge("level").Update(level.Limit())
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -139,7 +139,7 @@
 		forwarder.Log(g.log), forwarder.Metrics(scope), forwarder.Tracker(g.tracker),
 		forwarder.Report(g.send),
 		forwarder.Retries(retrier.New(retrier.BurstFunc(g.retryBurst)), retryRatioShare*g.settings.RetryRatio),
-		forwarder.Probes(probes),
+		forwarder.Probes(probes), forwarder.Transfer(g.settings.Transfer),
 	)
 	config := sourcer.New(g.platform.Config, nearby(g, func(c Copies) kingcupstile.Feed[routing.Table] { return c.Config }))
 	g.config = follower.New(config, g.platform.Clock, configSink{g}, follower.WatchWait[routing.Table](g.configWait),
