--- a/coordination/localizer/centre.go
+++ b/coordination/localizer/centre.go
@@ -17,6 +17,9 @@
 	// maxScarce is the time without room in another data centre from which on the share for it falls: a request that takes the room of
 	// another one saves nothing, and where all data centres are full, each one that leaves makes another one leave.
 	maxScarce = 1500 * time.Millisecond
+	// minScarce is such a time from which on the share falls if it is also more than scarceRatio of that in the own data centre: what is
+	// about as short of room elsewhere is no help.
+	minScarce, scarceRatio = 700 * time.Millisecond, 0.75
 	// priorRoom is the share of runners with room where nothing is known, and counts as much as one probe.
 	priorRoom = 0.5
 )
@@ -106,12 +109,12 @@
 	return time.Duration(float64(c.scarcity) * decayer.Keep(now-c.scarceAt, scarceHalfLife))
 }
 
-// withShare returns the centre after a request that is expected to gain some milliseconds there for a price.
-func (c centre) withShare(gain, price float64, now time.Duration) centre {
+// withShare returns the centre after a request from another one, home, that is expected to gain some milliseconds here for a price.
+func (c centre) withShare(home centre, gain, price float64, now time.Duration) centre {
 	elapsed := min(max(0, now-c.movedAt), maxStep).Seconds()
 	c.movedAt = now
 	switch {
-	case c.scarce(now) > maxScarce:
+	case c.scarce(now) > maxScarce, c.scarce(now) > max(minScarce, time.Duration(scarceRatio*float64(home.scarce(now)))):
 		c.share -= riseRate * elapsed
 	case gain > riseFactor*price:
 		c.share += riseRate * elapsed
--- a/coordination/localizer/localizer.go
+++ b/coordination/localizer/localizer.go
@@ -127,7 +127,7 @@
 	l.away = slices.Clone(l.away)
 	for i, c := range l.away {
 		c = c.withScarcity(r.Urgency, now)
-		l.away[i] = c.withShare(l.gain(c, r, now)-r.loss(c.wait(r, now), now), l.price(r), now)
+		l.away[i] = c.withShare(l.home, l.gain(c, r, now)-r.loss(c.wait(r, now), now), l.price(r), now)
 	}
 	return l
 }
