--- a/protocol/parser/place.go
+++ b/protocol/parser/place.go
@@ -43,6 +43,9 @@
 	// overage, plus the slack. At an overage of 0 they are not bounded.
 	ColdOverage float64 `json:"cold" min:"0"`
 	ColdSlack   float64 `json:"coldslack" min:"0"`
+	// Transfer is the cost of a megabyte sent between data centres, in milliseconds for which one caller may wait instead; at 0, fixed
+	// weights decide when requests go to other data centres.
+	Transfer float64 `json:"transfer" min:"0"`
 	// Memory is how many MB of memory the process may use, 0 if that is not known.
 	Memory int `json:"memory" min:"0"`
 	// Weight is the weight of load skew against the cost of moving experts, in hundredths.
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -55,6 +55,8 @@
 	identity suspect.Fingerprint
 	// paidFor is the number of the last attempt that the retry budget allowed.
 	paidFor int
+	// spill is what is known of the request's way between data centres.
+	spill spill
 	// denied is the refusal that forbids any further attempt, nil if there is none.
 	denied *refusal
 	// lastFailure is why the last attempt failed, for the log.
@@ -211,6 +213,7 @@
 // forward writes a frame to the caller and reports whether the exchange is over: the answer is complete or the caller
 // is gone.
 func (x *exchange) forward(f attempt.Frame) bool {
+	x.recordSpilled(f)
 	if f.IsLast() {
 		x.forwarder.tracker.ClearFailures(x.runner.ID())
 		if isSuccess(x.writer.status) {
