gateway: Begin two requests of the stop test where their order is certain

Trace: the second run begins after a second of silence, which was 40 ms before the process ends; and an order that is sent at the moment of the stop is taken before the entry knows of the stop, if that timer is late.

--- a/transport/gateway/stop_test.go
+++ b/transport/gateway/stop_test.go
@@ -52,14 +52,16 @@
 		// within is how soon after its begin the request is answered, in ms.
 		within int
 	}{
-		"order that may end too late":          {"/file/", 1200, site.FaultNoAnswer, 0, 0, 503, 0, 200},
-		"order that ends in time":              {"/file/", 300, site.FaultNone, 0, 0, 200, 1, 200},
-		"order that is not answered in time":   {"/file/", 300, site.FaultNoAnswer, 0, 0, 504, 1, 500},
-		"order whose body comes late":          {"/file/", 500, site.FaultNone, -100, 600, 503, 0, 600},
-		"lookup whose body comes late":         {"/look/", 1200, site.FaultNone, -100, 600, 503, 0, 600},
-		"stream whose body comes late":         {"/draft/", 1200, site.FaultNone, -100, 600, 503, 0, 600},
-		"order before the stop, not answered":  {"/file/", 1400, site.FaultNoAnswer, -100, -100, 504, 1, 1300},
-		"lookup before the stop, not answered": {"/look/", 1400, site.FaultNoAnswer, -100, -100, 504, 2, 1300},
+		// Begun with the stop itself, it may be taken before the entry knows of the stop, and then has to be answered.
+		"order that may end too late":         {"/file/", 1200, site.FaultNoAnswer, 50, 50, 503, 0, 200},
+		"order that ends in time":             {"/file/", 300, site.FaultNone, 0, 0, 200, 1, 200},
+		"order that is not answered in time":  {"/file/", 300, site.FaultNoAnswer, 0, 0, 504, 1, 500},
+		"order whose body comes late":         {"/file/", 500, site.FaultNone, -100, 600, 503, 0, 600},
+		"lookup whose body comes late":        {"/look/", 1200, site.FaultNone, -100, 600, 503, 0, 600},
+		"stream whose body comes late":        {"/draft/", 1200, site.FaultNone, -100, 600, 503, 0, 600},
+		"order before the stop, not answered": {"/file/", 1400, site.FaultNoAnswer, -100, -100, 504, 1, 1300},
+		// The second run begins after a second of silence, 0.24 s before the process ends.
+		"lookup before the stop, not answered": {"/look/", 1600, site.FaultNoAnswer, -300, -300, 504, 2, 1500},
 		"order after the time for new ones":    {"/file/", 300, site.FaultNone, 400, 400, 503, 0, 200},
 	} {
 		t.Run(name, func(t *testing.T) {
