caretaker: Check the health of the own runner once a second

A runner that turns cold under load is told by its answers, too, and gets some 4 requests a second of the 30 that the bound allows. TestEntriesAreToldThatTheRunnerIsCold passes. The two readings of the registration stay: with one, that test fails, as a runner that is back has not registered yet.

--- a/transport/caretaker/cold.go
+++ b/transport/caretaker/cold.go
@@ -12,7 +12,8 @@
 
 const (
 	// healthInterval is the time between two health checks of the own runner: short against the seconds for which runners are cold.
-	healthInterval = 250 * time.Millisecond
+	// Each check costs money and takes a slot of the runner for a moment.
+	healthInterval = time.Second
 	// registrationInterval is the time between two readings of the registrations, and registrationReads how many follow on a start:
 	// a runner that is back registers within about 2 s.
 	registrationInterval = 2 * time.Second
