--- a/coordination/validator/compare.go
+++ b/coordination/validator/compare.go
@@ -328,7 +328,7 @@
 		case !existed:
 			c.addIf(isKept, EffectChanged, c.after, s.At, "service %q is described now", name)
 		case !reflect.DeepEqual(before, c.after.services[name]):
-			c.addIf(isKept, EffectChanged, c.after, s.At, "service %q has other connections or another engine", name)
+			c.addIf(isKept, EffectChanged, c.after, s.At, "service %q: connections, engine, health checks or what cold runners bear differ", name)
 		}
 		if existed {
 			c.compareExtras(fmt.Sprintf("service %q", name), extras[name], s.Extras)
