pacer, forwarder: Compute in one place what a runner may have open for an urgency

Found by reading the change again: the level and the part of an urgency were put together in the choice of a runner and once more in what the spillover learns; the totals of requests were summed by two loops; a count of windows was only compared with 0; and the comment on the longest gap did not have the margin. Gate.Allowed, Thresholds.totals and a flag take their place. Behaviour stays, but that the choice now reads the level for each probed runner and not once for all.

--- a/coordination/pacer/gate.go
+++ b/coordination/pacer/gate.go
@@ -104,6 +104,14 @@
 	return g.thresholds.Part(priority, now)
 }
 
+// Allowed returns how many requests a runner with a number of slots may have open for one of a priority to be sent there; offset is as
+// for Level.Allowed.
+func (g *Gate) Allowed(priority, slots int, offset float64, now time.Duration) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.level.AllowedPart(g.thresholds.Part(priority, now), slots, offset)
+}
+
 // Vacancy returns how soon requests of a priority find room at such runners.
 func (g *Gate) Vacancy(priority int) Vacancy {
 	g.mu.Lock()
--- a/coordination/pacer/level.go
+++ b/coordination/pacer/level.go
@@ -29,8 +29,8 @@
 	return l
 }
 
-// WithMaxGap returns the level with the longest gap that is in time, 0 if it is not known. With it, the mean gap to hold is as much below
-// it as the longest gaps exceed the mean, but not less than the target.
+// WithMaxGap returns the level with the longest gap that is in time, 0 if it is not known. With it, the mean gap to hold is below it by
+// the margin that the longest gaps take, but not less than the target.
 func (l Level) WithMaxGap(longest time.Duration) Level {
 	l.maxGap = longest
 	return l
--- a/coordination/pacer/peaks.go
+++ b/coordination/pacer/peaks.go
@@ -18,8 +18,8 @@
 	// longest and before are the longest excess over the mean in the current window and in the one before.
 	longest, before time.Duration
 	windowAt        time.Duration
-	// windows is how many windows are complete.
-	windows int
+	// isKnown is whether a window is complete.
+	isKnown bool
 }
 
 // WithGap returns the peaks after a gap between two events of a stream. One that is longer than streams stand still for under any
@@ -33,7 +33,7 @@
 	}
 	if now-p.windowAt >= peakWindow {
 		p.before, p.longest, p.windowAt = p.longest, 0, now
-		p.windows++
+		p.isKnown = true
 	}
 	p.mean += gapWeight * (float64(d) - p.mean)
 	p.longest = max(p.longest, d-time.Duration(p.mean))
@@ -42,5 +42,5 @@
 
 // Margin returns how far the mean gap has to stay below the longest one in time, and false while too little is known.
 func (p Peaks) Margin() (time.Duration, bool) {
-	return time.Duration(excessMargin * float64(max(p.longest, p.before))), p.windows > 0
+	return time.Duration(excessMargin * float64(max(p.longest, p.before))), p.isKnown
 }
--- a/coordination/pacer/thresholds.go
+++ b/coordination/pacer/thresholds.go
@@ -96,7 +96,8 @@
 // part of the room. Each threshold follows how full runners are for the next more urgent priority.
 func (t Thresholds) WithSeen(isFull func(part float64) bool, now time.Duration) Thresholds {
 	t.classes = slices.Clone(t.classes)
-	asked, moreUrgent := t.asked(now), 0.0
+	asked, _ := t.totals(now)
+	moreUrgent := 0.0
 	for i := range t.classes {
 		c := t.classes[i]
 		seen := 0.0
@@ -137,19 +138,16 @@
 
 // isStarved reports whether a priority is served less than minServed as often as all are.
 func (t Thresholds) isStarved(c class, now time.Duration) bool {
-	served := 0.0
-	for _, other := range t.classes {
-		served += other.decayed(now).served
-	}
+	asked, served := t.totals(now)
 	c = c.decayed(now)
-	return c.asked >= minAsked && c.served*t.asked(now) < minServed*served*c.asked
+	return c.asked >= minAsked && c.served*asked < minServed*served*c.asked
 }
 
-// asked returns how many requests of all priorities came lately.
-func (t Thresholds) asked(now time.Duration) float64 {
-	asked := 0.0
+// totals returns how many requests of all priorities came lately, and how many of them found room.
+func (t Thresholds) totals(now time.Duration) (asked, served float64) {
 	for _, c := range t.classes {
-		asked += c.decayed(now).asked
+		c = c.decayed(now)
+		asked, served = asked+c.asked, served+c.served
 	}
-	return asked
+	return asked, served
 }
--- a/transport/forwarder/place.go
+++ b/transport/forwarder/place.go
@@ -163,14 +163,13 @@
 		}
 	}
 	x.recordRoom(sample, loads, now)
-	level, part := x.gate.Level(), x.gate.Part(x.access.urgency, now)
 	scope := x.forwarder.scope.Tagged(map[string]string{"service": x.service})
-	scope.Gauge("level").Update(level.Limit())
-	scope.Tagged(map[string]string{"urgency": strconv.Itoa(x.access.urgency)}).Gauge("part").Update(part)
+	scope.Gauge("level").Update(x.gate.Level().Limit())
+	scope.Tagged(map[string]string{"urgency": strconv.Itoa(x.access.urgency)}).Gauge("part").Update(x.gate.Part(x.access.urgency, now))
 	scope.Counter("probes").Inc(int64(len(sample)))
 	scope.Counter("probes_unanswered").Inc(int64(len(sample) - len(probed)))
 	return view.Choose(probed, request, func(r runner.Runner) int {
-		return x.allowedWhileCold(r, loads[r.Address()], level.AllowedPart(part, r.Slots(), roundingOffset(r)), now)
+		return x.allowedWhileCold(r, loads[r.Address()], x.gate.Allowed(x.access.urgency, r.Slots(), roundingOffset(r), now), now)
 	})
 }
 
--- a/transport/forwarder/spill.go
+++ b/transport/forwarder/spill.go
@@ -74,13 +74,11 @@
 	if f.transfer <= 0 {
 		return
 	}
-	level := x.gate.Level()
 	f.localizers.Update(x.service, func(l localizer.Localizer) localizer.Localizer {
 		for _, r := range sample {
 			load, answered := loads[r.Address()]
 			l = l.WithProbe(r.Centre(), func(urgency int) bool {
-				allowed := level.AllowedPart(x.gate.Part(urgency, now), r.Slots(), roundingOffset(r))
-				return answered && load.Open < allowed
+				return answered && load.Open < x.gate.Allowed(urgency, r.Slots(), roundingOffset(r), now)
 			}, now)
 		}
 		return l
