--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases holds the cases by number; each returns whether the rule was broken.
@@ -25,6 +27,13 @@
 		return exitFailed
 	}
 	defer w.close()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		w.close()
+		os.Exit(exitFailed)
+	}()
 	broken, err := cases[number](w)
 	switch {
 	case err != nil:
