sequencer, forwarder: Do not begin a stream anew after events without a number

A resumable stream whose events have no numbers was sent to another runner from its start after some events were forwarded, as no known number was read as nothing forwarded: callers would have got these events twice.

A position after an event without a number is not resumable; the dispatcher concludes the request, and the caller's connection is closed. No attempt begins beside one that pauses there.

Before: TestStreamWithoutNumbersIsNotBegunAnew gets "event 1" twice, and the second runner a request. It passes after.

--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -112,6 +112,9 @@
 	case FrameReceived:
 		return d.withFrame(endpoint, e.Frame)
 	case ConnectionFailed:
+		if e.Unresumable {
+			return d.concludeUnknown(ReasonCut)
+		}
 		return d.withConnectionFailed(endpoint, e.Sent)
 	case SettleResult:
 		return d.withSettleResult(endpoint, e)
--- a/coordination/dispatcher/event.go
+++ b/coordination/dispatcher/event.go
@@ -13,8 +13,8 @@
 type FrameReceived struct{ Frame attempt.Frame }
 
 // ConnectionFailed reports that the connection could not be opened, broke, or timed out; Sent is false if nothing of
-// the attempt was written.
-type ConnectionFailed struct{ Sent bool }
+// the attempt was written. Unresumable is true if no other endpoint can go on with the answer, as it is not known after which event.
+type ConnectionFailed struct{ Sent, Unresumable bool }
 
 // SettleResult carries the outcome that DoSettle obtained; NoReply is true if the endpoint did not reply.
 type SettleResult struct {
--- a/coordination/sequencer/sequencer.go
+++ b/coordination/sequencer/sequencer.go
@@ -15,17 +15,26 @@
 	VerdictGap Verdict = "gap"
 )
 
-// Position is how far a stream was forwarded, as an immutable value; the zero value is that of a stream without a numbered event.
+// Position is how far a stream was forwarded, as an immutable value; the zero value is that of a stream that has not begun.
 type Position struct {
 	number int64
 	// isKnown tells a stream that was forwarded up to the event 0 from one without a numbered event.
 	isKnown bool
+	// isUnnumbered says that the last forwarded event has no number.
+	isUnnumbered bool
 }
 
-// Number returns the number of the last forwarded event, and false if there is none.
+// HasBegun reports whether an event was forwarded.
+func (p Position) HasBegun() bool { return p.isKnown || p.isUnnumbered }
+
+// IsResumable reports whether another run can go on after the last forwarded event, or begin if there is none. It cannot after one
+// without a number, as it is not known which events that run has to leave out.
+func (p Position) IsResumable() bool { return !p.isUnnumbered }
+
+// Number returns the number of the last forwarded event that has one, and false if there is none.
 func (p Position) Number() (int64, bool) { return p.number, p.isKnown }
 
-// String returns the number of the last forwarded event as text, empty if there is none.
+// String returns the number of the last forwarded event that has one as text, empty if there is none.
 func (p Position) String() string {
 	if !p.isKnown {
 		return ""
@@ -44,3 +53,9 @@
 	}
 	return Position{number: number, isKnown: true}, VerdictForward
 }
+
+// WithUnnumbered returns the position after an event without a number, which is always forwarded.
+func (p Position) WithUnnumbered() Position {
+	p.isUnnumbered = true
+	return p
+}
--- a/coordination/sequencer/sequencer_test.go
+++ b/coordination/sequencer/sequencer_test.go
@@ -37,3 +37,26 @@
 		})
 	}
 }
+
+// TestEventWithoutANumberEndsResuming guards against a stream that begins anew after events without a number.
+func TestEventWithoutANumberEndsResuming(t *testing.T) {
+	var p sequencer.Position
+	if p.HasBegun() || !p.IsResumable() {
+		t.Errorf("a stream that has not begun: %+v", p)
+	}
+	p = p.WithUnnumbered()
+	if !p.HasBegun() || p.IsResumable() {
+		t.Errorf("after an event without a number: %+v", p)
+	}
+	p, verdict := p.WithEvent(4)
+	if verdict != sequencer.VerdictForward || !p.IsResumable() || p.String() != "4" {
+		t.Errorf("%s of the event 4: %+v", verdict, p)
+	}
+	p = p.WithUnnumbered()
+	if p.IsResumable() || p.String() != "4" {
+		t.Errorf("after another one without a number: %+v", p)
+	}
+	if next, verdict := p.WithEvent(4); verdict != sequencer.VerdictSkip || next.IsResumable() {
+		t.Errorf("%s of the event 4 once more: %+v", verdict, next)
+	}
+}
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -50,8 +50,10 @@
 type Runner struct {
 	id string
 	// Events is the number of events in a stream, FirstEvent the number of the first one, and EventInterval the time between two.
-	Events        int
-	FirstEvent    int
+	Events     int
+	FirstEvent int
+	// Unnumbered leaves the numbers of events out.
+	Unnumbered    bool
 	EventInterval time.Duration
 	mu            sync.Mutex
 	fault         Fault
@@ -336,7 +338,7 @@
 			r.truncate(control, n)
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n); err != nil {
+		if _, err := io.WriteString(w, r.event(n)); err != nil {
 			return
 		}
 		_ = control.Flush()
@@ -362,6 +364,14 @@
 	}
 }
 
+// event returns the text of an event.
+func (r *Runner) event(n int) string {
+	if r.Unnumbered {
+		return fmt.Sprintf("data: event %d\n\n", n)
+	}
+	return fmt.Sprintf("id: %d\ndata: event %d\n\n", n, n)
+}
+
 // failEarly fails the stream before its first event, or answers it without chunks, and reports whether it did.
 func (r *Runner) failEarly(
 	w http.ResponseWriter, q *http.Request, control *http.ResponseController, body string, after int, fault Fault,
@@ -437,7 +447,7 @@
 			_, _ = fmt.Fprintf(buffered, "id: %d\ndata: ev", n)
 			break
 		}
-		_, _ = fmt.Fprintf(buffered, "id: %d\ndata: event %d\n\n", n, n)
+		_, _ = buffered.WriteString(r.event(n))
 	}
 	_ = buffered.Flush()
 	_ = connection.Close()
--- a/transport/forwarder/exchange.go
+++ b/transport/forwarder/exchange.go
@@ -171,12 +171,6 @@
 	return x.checkClosed()
 }
 
-// hasBegun reports whether an event of a stream was forwarded.
-func (x *exchange) hasBegun() bool {
-	_, hasBegun := x.position.Number()
-	return hasBegun
-}
-
 // leaving returns the refusal of the next attempt if the process would cut it off as it ends, nil if it may be sent. What may have run
 // goes on, as its caller cannot be told that it has not.
 func (x *exchange) leaving() *refusal {
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -87,7 +87,7 @@
 
 func newCall(ctx context.Context, x *exchange, r runner.Runner, timeout time.Duration) *call {
 	c := &call{exchange: x, runner: r, timeout: timeout, arrivals: make(chan arrival, 1), sentAt: x.forwarder.clock.Now()}
-	c.isWhole = !x.hasBegun() && x.request.LastEvent == ""
+	c.isWhole = !x.position.HasBegun() && x.request.LastEvent == ""
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	x.countSpill(r)
 	c.promptRead, c.done = x.forwarder.tracker.Begin(r.ID(), x.request.PromptTokens)
@@ -120,7 +120,7 @@
 		Runner: c.runner.ID(), Account: x.access.account.Name(), Timeout: c.timeout, Priority: x.access.priority,
 		LastEvent: x.request.LastEvent,
 	}
-	if x.hasBegun() {
+	if _, hasNumber := x.position.Number(); hasNumber {
 		target.LastEvent = x.position.String()
 	}
 	request := conduit.Request{
@@ -360,6 +360,9 @@
 // events are missing before it.
 func (x *exchange) trackEvent(e eventer.Event) (skip bool, err error) {
 	if !e.HasID {
+		if e.HasFields {
+			x.position = x.position.WithUnnumbered()
+		}
 		return false, nil
 	}
 	next, verdict := x.position.WithEvent(e.ID)
@@ -415,5 +418,5 @@
 	x.forwarder.log.Info("attempt at runner failed; retrying if it is safe and the limits on attempts and retries allow it",
 		"request", x.request.ID, "runner", c.runner.ID(), "service", x.service, "sent", sent, "answered", c.lastEventAt > 0,
 		"closed_by_runner", conduit.IsClosedByPeer(err), "parts", x.loggedParts(), "error", err)
-	return dispatcher.ConnectionFailed{Sent: sent}
+	return dispatcher.ConnectionFailed{Sent: sent, Unresumable: !x.position.IsResumable()}
 }
--- a/transport/forwarder/outage.go
+++ b/transport/forwarder/outage.go
@@ -98,7 +98,7 @@
 	if !found {
 		return nil
 	}
-	if denied := x.checkOutage(); denied != nil && !x.hasBegun() {
+	if denied := x.checkOutage(); denied != nil && !x.position.HasBegun() {
 		return denied
 	}
 	waiting, forget := x.untilClosed(ctx)
--- a/transport/forwarder/standby.go
+++ b/transport/forwarder/standby.go
@@ -179,7 +179,7 @@
 // that is lost from one that still works.
 func (x *exchange) checkPause(ctx context.Context) {
 	f, now := x.forwarder, x.forwarder.clock.Now()
-	if x.standby != nil || ctx.Err() != nil || x.isDown() {
+	if x.standby != nil || ctx.Err() != nil || x.isDown() || !x.position.IsResumable() {
 		return
 	}
 	usual := x.forwarder.estimates.Work(x.kind).Begin.Mean() + x.promptTime
--- a/transport/forwarder/wait.go
+++ b/transport/forwarder/wait.go
@@ -46,7 +46,7 @@
 	work := x.forwarder.estimates.Work(x.kind)
 	begin := max(minWork, work.Begin.Most()+x.promptTime)
 	whole := begin
-	if !x.hasBegun() {
+	if !x.position.HasBegun() {
 		whole = max(begin, work.Whole.Mean())
 	}
 	return min(x.arrivedAt+x.timeout-whole, x.leaveAt()-begin)
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -460,6 +460,28 @@
 	}
 }
 
+// TestStreamWithoutNumbersIsNotBegunAnew guards against events that come twice, as a stream whose events have no numbers was sent to
+// another runner after some of them were forwarded.
+func TestStreamWithoutNumbersIsNotBegunAnew(t *testing.T) {
+	d := newDeployment(t)
+	d.moveAway("pool-b", "pool")
+	for _, id := range []string{"pool-a", "pool-b"} {
+		d.runners[id].Unnumbered = true
+	}
+	d.runners["pool-a"].CrashLateOnBody("late", func() {})
+	a := d.call(http.MethodPost, "/draft/x", "late", nil)
+	if a.err == nil || a.body != "data: event 1\n\n" {
+		t.Errorf("got %+v", a)
+	}
+	if runs := d.runners["pool-b"].Runs(); len(runs) != 0 {
+		t.Errorf("the second runner got %+v", runs)
+	}
+	d.runners["pool-a"].CrashOnBody("early")
+	if a := d.call(http.MethodPost, "/draft/x", "early", nil); a.err != nil || !strings.HasSuffix(a.body, "data: event 5\n\n") {
+		t.Errorf("before the first event: %+v", a)
+	}
+}
+
 // TestStreamThatEndsWithItsConnection has runners answer streams with neither a length nor chunks: one that ends between two
 // events is whole, one that ends inside an event has been broken off.
 func TestStreamThatEndsWithItsConnection(t *testing.T) {
