platform, normalizer: Take whole numbers in any spelling

JSON's 90.0 and 9e1 are the number 90; Go's decoder takes neither for an integer.

Where a number does not fit an integer, the text is decoded once more with whole numbers as digits.

--- a/protocol/parser/decoder.go
+++ b/protocol/parser/decoder.go
@@ -10,6 +10,7 @@
 
 	"github.com/tailscale/hujson"
 
+	"github.com/kingcupstile/kingcupstile/protocol/normalizer"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 )
 
@@ -229,7 +230,8 @@
 		d.addMistake(v.StartOffset, key, KindWrongType, "a whole number")
 		return
 	}
-	n, err := strconv.ParseInt(string(l), 10, 64)
+	digits, _ := normalizer.Integer([]byte(l))
+	n, err := strconv.ParseInt(string(digits), 10, 64)
 	minimum, bounded := tag.Lookup("min")
 	low, _ := strconv.ParseInt(minimum, 10, 64)
 	if err != nil || (bounded && n < low) || into.OverflowInt(n) {
--- a/protocol/parser/place_test.go
+++ b/protocol/parser/place_test.go
@@ -41,6 +41,16 @@
 	}
 }
 
+// TestWholeSettingsInAnySpelling guards against settings that are refused as the platform writes a whole number with a fraction.
+func TestWholeSettingsInAnySpelling(t *testing.T) {
+	for text, isWhole := range map[string]bool{"284": true, "284.0": true, "2.84e2": true, "284.5": false, "-1.0": false, "1e99": false} {
+		p, err := parser.ParsePlatformSettings("place", []byte(strings.Replace(place, `"role"`, `"memory": `+text+`, "role"`, 1)))
+		if (err == nil) != isWhole || isWhole && p.Memory != 284 {
+			t.Errorf("%s: %d MB, %v", text, p.Memory, err)
+		}
+	}
+}
+
 func TestParsePlace(t *testing.T) {
 	p, err := parser.ParsePlatformSettings("place", []byte(place))
 	if err != nil || p.InternalPorts[0] != 7340 || p.MaxKeyAge().Seconds() != 4.5 {
