overseer, gateway: Confirm nothing while the newest configuration cannot be read

The control state knows that the newest version in the store cannot be read or is missing, and takes no confirmation until one can be read: once the version in force is too old, requests that need a key get 503. Entries ask the store in windows meanwhile, so that a version that none can read does not load it. A removed configuration and a change without a name count alike; other objects of the kind say nothing.

Before: TestVersionThatCannotBeReadLetsNobodyIn gets 200 with the key in all four variants, 3 of 3 requests ran.

--- a/coordination/overseer/event.go
+++ b/coordination/overseer/event.go
@@ -24,6 +24,14 @@
 // ConfigConfirmed reports that the store had no newer configuration when it was asked, at RequestedAt.
 type ConfigConfirmed struct{ RequestedAt time.Duration }
 
+// ConfigUnread reports that the newest configuration in the store cannot be read, or that there is none.
+type ConfigUnread struct {
+	// Revision is the store's revision of the object, or of the listing that lacks it.
+	Revision uint64
+	// RequestedAt is when the store was asked, 0 if a copy was.
+	RequestedAt time.Duration
+}
+
 // RunnersListed carries all registered runners.
 type RunnersListed struct {
 	Runners []runner.Runner
@@ -143,6 +151,7 @@
 
 func (ConfigReceived) isEvent()     {}
 func (ConfigConfirmed) isEvent()    {}
+func (ConfigUnread) isEvent()       {}
 func (RunnersListed) isEvent()      {}
 func (RunnersChanged) isEvent()     {}
 func (StoreUnreachable) isEvent()   {}
@@ -182,6 +191,9 @@
 	Ended  bool
 }
 
+// Unread tells that the newest configuration in the store cannot be read, or that it can be read again.
+type Unread struct{ Ended bool }
+
 // Withhold asks to withdraw the unanswered requests with some parts from runners.
 type Withhold struct{ Parts []suspect.Part }
 
@@ -195,5 +207,6 @@
 func (Withhold) isEffect()   {}
 func (RunnerLost) isEffect() {}
 func (Evacuated) isEffect()  {}
+func (Unread) isEffect()     {}
 func (Refresh) isEffect()    {}
 func (Deregister) isEffect() {}
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -84,6 +84,7 @@
 	table        routing.Table
 	confirmedAt  time.Duration
 	hasTable     bool
+	unread       unread
 	runners      runner.Set
 	hasRunners   bool
 	// usable are the runners outside the drained data centres.
@@ -166,7 +167,7 @@
 
 // IsRelay reports whether this entry polls the store at short intervals. The first relayCount present entries by name
 // do, and so does an entry whose configuration they have not confirmed for too long.
-func (s State) IsRelay(now time.Duration) bool { return s.IsRoot(now) || s.Age(now) > s.refreshAge() }
+func (s State) IsRelay(now time.Duration) bool { return s.IsRoot(now) || s.isConfirmationDue(now) }
 
 // IsRoot reports whether this entry is one of the first relayCount present ones by name, from which the others learn.
 func (s State) IsRoot(now time.Duration) bool {
--- a/coordination/overseer/step.go
+++ b/coordination/overseer/step.go
@@ -7,7 +7,6 @@
 
 	"github.com/kingcupstile/kingcupstile/state/listing"
 	"github.com/kingcupstile/kingcupstile/state/peer"
-	"github.com/kingcupstile/kingcupstile/state/routing"
 	"github.com/kingcupstile/kingcupstile/state/runner"
 	"github.com/kingcupstile/kingcupstile/state/suspect"
 )
@@ -15,10 +14,8 @@
 // Step applies an event to a state and returns the new state with the effects to carry out, in order.
 func Step(s State, event Event) (State, []Effect) {
 	switch e := event.(type) {
-	case ConfigReceived:
-		return s.withConfig(e.Table, e.RequestedAt)
-	case ConfigConfirmed:
-		return s.withConfirmation(e.RequestedAt), nil
+	case ConfigReceived, ConfigConfirmed, ConfigUnread:
+		return s.withConfigEvent(event)
 	case RunnersListed:
 		return s.withRunnersListed(e)
 	case RunnersChanged:
@@ -103,26 +100,6 @@
 	return s, append(effects, lost...)
 }
 
-// withConfig adopts a newer configuration and confirms an equal one; an older one is ignored.
-func (s State) withConfig(t routing.Table, requestedAt time.Duration) (State, []Effect) {
-	if s.hasTable && t.Version() < s.table.Version() {
-		return s, []Effect{Log{Message: "older configuration ignored", Args: []any{"version", t.Version(), "held", s.table.Version()}}}
-	}
-	var effects []Effect
-	if !s.hasTable || t.Version() > s.table.Version() {
-		effects = []Effect{Log{Message: "configuration in force", Args: []any{"version", t.Version(), "before", s.table.Version()}}}
-		s.table, s.hasTable = t, true
-	}
-	return s.withConfirmation(requestedAt), effects
-}
-
-func (s State) withConfirmation(requestedAt time.Duration) State {
-	if s.hasTable {
-		s.confirmedAt = max(s.confirmedAt, requestedAt)
-	}
-	return s
-}
-
 func (s State) withStoreUnreachable(at time.Duration) (State, []Effect) {
 	if s.unreachable {
 		return s, nil
@@ -307,7 +284,7 @@
 	s.configBehindSince = behindSince(s.configBehindSince, configBehind, at)
 	s.runnersBehindSince = behindSince(s.runnersBehindSince, runnersBehind, at)
 	r := Refresh{
-		Config:  configBehind && at-s.configBehindSince >= tolerance || s.hasTable && s.Age(at) > s.refreshAge(),
+		Config:  configBehind && at-s.configBehindSince >= tolerance || s.hasTable && s.isConfirmationDue(at),
 		Runners: runnersBehind && at-s.runnersBehindSince >= tolerance,
 	}
 	if r == (Refresh{}) || at-s.refreshedAt < minRefreshInterval {
--- a/transport/gateway/evacuations.go
+++ b/transport/gateway/evacuations.go
@@ -42,11 +42,7 @@
 
 // recordEvacuated reports a drain, and has the requests be refused that wait for runners which they must not reach.
 func (g *Gateway) recordEvacuated(e overseer.Evacuated) {
-	drained := 1.0
-	if e.Ended {
-		drained = 0
-	}
-	g.scope.Tagged(map[string]string{"centre": e.Centre}).Gauge("drained").Update(drained)
+	g.scope.Tagged(map[string]string{"centre": e.Centre}).Gauge("drained").Update(gaugeOf(!e.Ended))
 	go g.forwarder.RefuseClosed()
 }
 
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -332,6 +332,8 @@
 		}
 	case overseer.Evacuated:
 		g.recordEvacuated(e)
+	case overseer.Unread:
+		g.scope.Gauge("config_unread").Update(gaugeOf(!e.Ended))
 	case overseer.Withhold:
 		// In another goroutine, as it reports what this entry knows of the parts.
 		go g.forwarder.Withhold(e.Parts)
@@ -346,6 +348,14 @@
 	}
 }
 
+// gaugeOf returns the value of a gauge for a state, 1 while it holds.
+func gaugeOf(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // coldOption returns the option that limits the load of cold runners, which does nothing unless the settings ask for it.
 func (g *Gateway) coldOption() forwarder.Option {
 	if g.settings.ColdOverage <= 0 {
--- a/transport/gateway/sinks.go
+++ b/transport/gateway/sinks.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/kingcupstile/kingcupstile/coordination/follower"
@@ -61,16 +62,25 @@
 	for _, t := range l.Items {
 		s.send(overseer.ConfigReceived{Table: t, RequestedAt: asked})
 	}
+	if len(l.Items) == 0 {
+		s.send(overseer.ConfigUnread{Revision: l.Revision, RequestedAt: asked})
+	}
 }
 
-// Changed passes on a new configuration; no change at all in the store confirms the one in force.
+// Changed passes on a new configuration, of several the last one as the newest; no change at all in the store confirms the one in force.
 func (s configSink) Changed(c listing.Changes[routing.Table], asked time.Duration) {
 	if c.Unconfirmed {
 		asked = 0
 	}
-	for _, change := range c.Items {
+	for i, change := range c.Items {
+		requestedAt := asked
+		if i < len(c.Items)-1 {
+			requestedAt = 0
+		}
 		if change.Valid && !change.Removed {
-			s.send(overseer.ConfigReceived{Table: change.Item, RequestedAt: asked})
+			s.send(overseer.ConfigReceived{Table: change.Item, RequestedAt: requestedAt})
+		} else {
+			s.send(overseer.ConfigUnread{Revision: cmp.Or(change.Revision, c.Revision), RequestedAt: requestedAt})
 		}
 	}
 	if len(c.Items) == 0 && !c.Unconfirmed {
--- a/transport/gateway/tenants_test.go
+++ b/transport/gateway/tenants_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"testing"
 	"time"
@@ -88,3 +89,46 @@
 		})
 	}
 }
+
+// TestVersionThatCannotBeReadLetsNobodyIn guards against a key that stays in force as the version that takes it away cannot be read: once
+// the version before is too old, requests that need a key are refused, also after the store was listed again, until one can be read.
+func TestVersionThatCannotBeReadLetsNobodyIn(t *testing.T) {
+	for name, replace := range map[string]func(d *deployment){
+		"unknown type of route": func(d *deployment) {
+			d.store.PutRaw("config", "main", json.RawMessage(`{"version":100,"routes":[{"name":"look","type":"odd"}],"tenants":[]}`))
+		},
+		"weight that is not whole": func(d *deployment) {
+			d.store.PutRaw("config", "main", json.RawMessage(`{"version":100,"routes":[{"type":"safe","split":[{"weight":33.5}]}],"tenants":[]}`))
+		},
+		"no object": func(d *deployment) { d.store.PutRaw("config", "main", json.RawMessage(`"later"`)) },
+		"removed":   func(d *deployment) { d.store.Remove("config", "main") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			// Another object of the kind says nothing of the configuration.
+			d.store.PutRaw("config", "spare", json.RawMessage(`"later"`))
+			time.Sleep(revoke)
+			if got := d.callWithKeys(); got != [3]int{http.StatusOK, http.StatusUnauthorized, http.StatusUnauthorized} {
+				t.Fatalf("statuses with a key in force: %v", got)
+			}
+			replace(d)
+			time.Sleep(revoke)
+			unavailable := [3]int{http.StatusServiceUnavailable, http.StatusServiceUnavailable, http.StatusServiceUnavailable}
+			before := d.runs("desk")
+			for range 3 {
+				if got := d.callWithKeys(); got != unavailable {
+					t.Errorf("statuses %v after %v", got, revoke)
+				}
+				d.store.Compact()
+				time.Sleep(revoke / 2)
+			}
+			if ran := d.runs("desk") - before; ran > 0 {
+				t.Errorf("%d requests ran", ran)
+			}
+			d.version = 200
+			d.configure(key)
+			d.await("let in again", func() bool { return d.callWithKeys()[0] == http.StatusOK })
+		})
+	}
+}
