overseer: Tell entries that join who is silent

Neighbours notice a silence within a second and report it to all, but only for 2 s; who joins later takes a registered entry for usable until five heartbeat intervals have passed, which grow with the number of entries. An entry that was paused meanwhile is in the same place.

A heartbeat to an entry that was listed, or heard again after a silence, within five intervals carries all entries that its sender was told to be silent. It is believed as before: two have to say so, and a heartbeat of the entry refutes it.

Before: TestEntryThatJoinsLearnsWhoIsSilent fails in six of seven variants ("joined 4.2s ago, names e-0-020, dead for 12.2s").

--- a/coordination/overseer/links.go
+++ b/coordination/overseer/links.go
@@ -120,24 +120,54 @@
 		return nil
 	}
 	var list []peer.Silence
-	add := func(e entry) {
-		if len(list) < maxSilences {
-			list = append(list, peer.Silence{Name: e.peer.Name, Start: e.peer.Start})
-		}
-	}
 	for _, name := range s.links(now).All() {
 		if e, found := s.peers[name]; found && e.isLinkSilent(now) {
-			add(e)
+			list = withSilence(list, e)
 		}
 	}
 	for _, e := range s.peers {
 		if e.silentAt > e.heardAt && now-e.silentAt < maxReportAge {
-			add(e)
+			list = withSilence(list, e)
 		}
 	}
 	return list
 }
 
+// withAllSilences adds all entries of which this one was told that they are silent, however long ago, to those that are reported now: an
+// entry that joins did not hear the reports of before. Of more than fit into a heartbeat, each one holds others. What this entry only
+// concludes from its own clock is not reported, as it may have been away itself.
+func (s State) withAllSilences(list []peer.Silence) []peer.Silence {
+	if !s.IsLinked() {
+		return list
+	}
+	list = slices.Clip(list)
+	for _, e := range s.peers {
+		if e.silentAt > e.heardAt {
+			list = withSilence(list, e)
+		}
+	}
+	return list
+}
+
+// withSilence adds an entry to those that are reported as silent, unless it is among them or they fill a heartbeat.
+func withSilence(list []peer.Silence, e entry) []peer.Silence {
+	silence := peer.Silence{Name: e.peer.Name, Start: e.peer.Start}
+	if len(list) >= maxSilences || slices.Contains(list, silence) {
+		return list
+	}
+	return append(list, silence)
+}
+
+// isJoining reports whether an entry was listed, or heard from again, so recently that it may take silent ones for present.
+func (s State) isJoining(e entry, now time.Duration) bool {
+	return now-max(e.listedAt, e.rejoinedAt) < s.heartbeatTimeout()
+}
+
+// wasSilent reports whether a heartbeat that comes now is the first one, or follows on a silence.
+func (e entry) wasSilent(now time.Duration) bool {
+	return e.heardAt == 0 || e.silentAt > e.heardAt || e.linkedAt > 0 && e.isLinkSilent(now)
+}
+
 // isLinkSilent reports whether a linked entry is silent. It has as long from when it was listed, or was linked after the
 // silence of another was noticed, as between two heartbeats.
 func (e entry) isLinkSilent(now time.Duration) bool {
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"sync"
 	"time"
 
 	"github.com/kingcupstile/kingcupstile/state/peer"
@@ -70,6 +71,8 @@
 	listedAt time.Duration
 	// returnedAt is when a heartbeat followed on a pause.
 	returnedAt time.Duration
+	// rejoinedAt is when the entry was heard from for the first time, or again after it was silent.
+	rejoinedAt time.Duration
 	// silentAt is when two others reported this start silent, 0 for never, and reporters are the last ones to report it.
 	silentAt  time.Duration
 	reporters [2]report
@@ -198,9 +201,13 @@
 		StoreUnreachable: s.unreachable, Leavers: s.leaversToReport(now),
 		Evacuations: s.evacuations.table.Reported(now, endReportTime, maxEvacuations),
 	}
+	all := sync.OnceValue(func() []peer.Silence { return s.withAllSilences(common.Silences) })
 	heartbeats := make(map[string]peer.Heartbeat, len(list))
 	for _, to := range list {
 		b, e := common, s.peers[to.Name]
+		if s.isJoining(e, now) {
+			b.Silences = all()
+		}
 		if e.heardAt > 0 {
 			b.Echo, b.EchoStart, b.EchoDelay = e.heartbeat.Sent, e.heartbeat.Start, now-e.heardAt
 		}
--- a/coordination/overseer/step.go
+++ b/coordination/overseer/step.go
@@ -237,6 +237,9 @@
 	if e.heardAt > 0 && at-e.heardAt > s.heartbeatTimeout()/2 {
 		e.returnedAt = at
 	}
+	if e.wasSilent(at) {
+		e.rejoinedAt = at
+	}
 	e.heartbeat, e.heardAt = b, at
 	s = s.withEntry(e).withRelayedAge(b, at).withSilences(b, at).withRelayedOutage(b, at).withInformed(b).withPeerLeavers(b, at)
 	s, effects := s.withPeerEvacuations(b, at)
