overseer, messenger: Let a report of a silence say how old it is

A report carries the time since the silence was noticed first; one that is older than the last heartbeat of the entry has no effect.

Before: TestOutdatedReportsOfASilence fails: an entry heard 1 s ago is left out for a silence that was noticed 3 s ago.

--- a/coordination/overseer/links.go
+++ b/coordination/overseer/links.go
@@ -122,12 +122,12 @@
 	var list []peer.Silence
 	for _, name := range s.links(now).All() {
 		if e, found := s.peers[name]; found && e.isLinkSilent(now) {
-			list = withSilence(list, e)
+			list = withSilence(list, e, now-e.linkSilentAt())
 		}
 	}
 	for _, e := range s.peers {
 		if e.silentAt > e.heardAt && now-e.silentAt < maxReportAge {
-			list = withSilence(list, e)
+			list = withSilence(list, e, now-e.silentSince)
 		}
 	}
 	return list
@@ -136,26 +136,26 @@
 // withAllSilences adds all entries of which this one was told that they are silent, however long ago, to those that are reported now: an
 // entry that joins did not hear the reports of before. Of more than fit into a heartbeat, each one holds others. What this entry only
 // concludes from its own clock is not reported, as it may have been away itself.
-func (s State) withAllSilences(list []peer.Silence) []peer.Silence {
+func (s State) withAllSilences(list []peer.Silence, now time.Duration) []peer.Silence {
 	if !s.IsLinked() {
 		return list
 	}
 	list = slices.Clip(list)
 	for _, e := range s.peers {
 		if e.silentAt > e.heardAt {
-			list = withSilence(list, e)
+			list = withSilence(list, e, now-e.silentSince)
 		}
 	}
 	return list
 }
 
 // withSilence adds an entry to those that are reported as silent, unless it is among them or they fill a heartbeat.
-func withSilence(list []peer.Silence, e entry) []peer.Silence {
-	silence := peer.Silence{Name: e.peer.Name, Start: e.peer.Start}
-	if len(list) >= maxSilences || slices.Contains(list, silence) {
+func withSilence(list []peer.Silence, e entry, age time.Duration) []peer.Silence {
+	isListed := func(other peer.Silence) bool { return other.Name == e.peer.Name }
+	if len(list) >= maxSilences || slices.ContainsFunc(list, isListed) {
 		return list
 	}
-	return append(list, silence)
+	return append(list, peer.Silence{Name: e.peer.Name, Start: e.peer.Start, Age: max(0, age)})
 }
 
 // isJoining reports whether an entry was listed, or heard from again, so recently that it may take silent ones for present.
@@ -170,12 +170,15 @@
 
 // isLinkSilent reports whether a linked entry is silent. It has as long from when it was listed, or was linked after the
 // silence of another was noticed, as between two heartbeats.
-func (e entry) isLinkSilent(now time.Duration) bool {
-	return now-max(e.heardAt, e.listedAt, e.linkedAt) > linkTimeout
+func (e entry) isLinkSilent(now time.Duration) bool { return now > e.linkSilentAt() }
+
+// linkSilentAt returns when a linked entry is silent unless it is heard from before.
+func (e entry) linkSilentAt() time.Duration {
+	return max(e.heardAt, e.listedAt, e.linkedAt) + linkTimeout
 }
 
 // withSilences takes in which entries another one reports as silent. An entry is silent once two others report it, or one
-// and this one is linked to it and would report it too, and this one has not heard from it for a while.
+// and this one is linked to it and would report it too, and this one has not heard from it for a while, nor since the silence was noticed.
 func (s State) withSilences(b peer.Heartbeat, at time.Duration) State {
 	for _, silence := range b.Silences {
 		if silence.Name == s.self.Name {
@@ -185,13 +188,14 @@
 			continue
 		}
 		e, found := s.peers[silence.Name]
-		if !found || e.peer.Start != silence.Start || e.silentAt > e.heardAt {
+		since := at - silence.Age
+		if !found || e.peer.Start != silence.Start || e.silentAt > e.heardAt || e.heardAt > 0 && since <= e.heardAt {
 			continue
 		}
 		e = e.withReport(report{from: b.Name, at: at})
 		isReportedTwice := e.reporters[1].from != "" && at-e.reporters[1].at < maxReportAge
 		if (isReportedTwice || e.linkedAt > 0 && e.isLinkSilent(at)) && at-e.heardAt > minSilence {
-			e.silentAt = at
+			e.silentAt, e.silentSince = at, since
 		}
 		s = s.withEntry(e)
 	}
--- a/coordination/overseer/rejoin_test.go
+++ b/coordination/overseer/rejoin_test.go
@@ -93,3 +93,34 @@
 		})
 	}
 }
+
+// TestOutdatedReportsOfASilence guards against an entry that is taken for dead by reports of a silence that has ended, as others that have
+// not heard from it yet still pass them on.
+func TestOutdatedReportsOfASilence(t *testing.T) {
+	f := newFleet(t, 40)
+	f.run(3 * time.Second)
+	viewer, subject := f.names[39], f.names[1]
+	heard := func(from string, silences ...peer.Silence) {
+		b := f.states[from].Heartbeat(f.peers[viewer], nil, f.now)
+		b.Ready, b.Silences = true, silences
+		f.deliver(viewer, overseer.HeartbeatReceived{Heartbeat: b, At: f.now})
+	}
+	for _, test := range []struct {
+		age     time.Duration
+		isNamed bool
+	}{{3 * time.Second, true}, {time.Second, true}, {900 * time.Millisecond, false}} {
+		heard(subject)
+		f.now += time.Second
+		silence := peer.Silence{Name: subject, Start: f.peers[subject].Start, Age: test.age}
+		heard(f.names[2], silence)
+		heard(f.names[3], silence)
+		if got := f.isNamed(viewer, subject); got != test.isNamed {
+			t.Errorf("noticed %v ago, heard from 1s ago: named %t", test.age, got)
+		}
+	}
+	f.now += step
+	heard(subject)
+	if !f.isNamed(viewer, subject) {
+		t.Error("not named after it was heard from")
+	}
+}
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -73,9 +73,10 @@
 	returnedAt time.Duration
 	// rejoinedAt is when the entry was heard from for the first time, or again after it was silent.
 	rejoinedAt time.Duration
-	// silentAt is when two others reported this start silent, 0 for never, and reporters are the last ones to report it.
-	silentAt  time.Duration
-	reporters [2]report
+	// silentAt is when two others reported this start silent, 0 for never, silentSince when the silence was noticed by the first, and
+	// reporters are the last ones to report it.
+	silentAt, silentSince time.Duration
+	reporters             [2]report
 	// linkedAt is when the entry became linked to this one.
 	linkedAt time.Duration
 }
@@ -201,7 +202,7 @@
 		StoreUnreachable: s.unreachable, Leavers: s.leaversToReport(now),
 		Evacuations: s.evacuations.table.Reported(now, endReportTime, maxEvacuations),
 	}
-	all := sync.OnceValue(func() []peer.Silence { return s.withAllSilences(common.Silences) })
+	all := sync.OnceValue(func() []peer.Silence { return s.withAllSilences(common.Silences, now) })
 	heartbeats := make(map[string]peer.Heartbeat, len(list))
 	for _, to := range list {
 		b, e := common, s.peers[to.Name]
--- a/protocol/messenger/entry.go
+++ b/protocol/messenger/entry.go
@@ -27,7 +27,7 @@
 		m.Unread = append(m.Unread, uint32(max(0, o.UnreadTokens)))
 	}
 	for _, silent := range b.Silences {
-		m.Silences = append(m.Silences, &wire.EntrySilence{Name: silent.Name, Start: silent.Start})
+		m.Silences = append(m.Silences, &wire.EntrySilence{Name: silent.Name, Start: silent.Start, Ago: silent.Age.Microseconds()})
 	}
 	for _, c := range b.Crashes {
 		m.Crashes = append(m.Crashes, &wire.EntryCrash{
@@ -99,7 +99,9 @@
 		b.InFlight[key] = peer.InFlight{Requests: int(m.GetRequests()[i]), UnreadTokens: int(m.GetUnread()[i])}
 	}
 	for _, silent := range m.GetSilences() {
-		b.Silences = append(b.Silences, peer.Silence{Name: silent.GetName(), Start: silent.GetStart()})
+		b.Silences = append(b.Silences, peer.Silence{
+			Name: silent.GetName(), Start: silent.GetStart(), Age: max(0, time.Duration(silent.GetAgo())*time.Microsecond),
+		})
 	}
 	for _, c := range m.GetCrashes() {
 		b.Crashes = append(b.Crashes, suspect.Crash{
--- a/protocol/messenger/entry_test.go
+++ b/protocol/messenger/entry_test.go
@@ -17,6 +17,7 @@
 		Name: "entry-1", Start: 17, Ready: true, ConfigVersion: 9, ConfigAge: 300 * time.Millisecond, RunnersRevision: 41, Sent: 90 * time.Second,
 		Echo: 89 * time.Second, EchoDelay: 20 * time.Millisecond, EchoStart: 3,
 		InFlight: map[uint32]peer.InFlight{7: {Requests: 2, UnreadTokens: 900}},
+		Silences: []peer.Silence{{Name: "entry-2", Start: 18, Age: 40 * time.Second}},
 		Crashes:  []suspect.Crash{{Fingerprint: "5f", Runner: 7, At: 88 * time.Second}},
 		Evacuations: []evacuation.Evacuation{
 			{Centre: "kgl-a", Revision: 40}, {Centre: "kgl-b", Revision: 41, Ended: true},
--- a/state/peer/peer.go
+++ b/state/peer/peer.go
@@ -70,6 +70,8 @@
 type Silence struct {
 	Name  string
 	Start int64
+	// Age is how long ago the silence was noticed, by the entry that noticed it first.
+	Age time.Duration
 }
 
 // InFlight is the work that an entry has in flight on one runner.
