overseer: Leave silent entries out of the directory while none is ready

When no entry is ready, the directory named all registered ones, also those that were killed up to a minute before.

It names those that are present; all registered ones only if no other is present, as the entry may then be cut off itself.

Before: TestDirectoryWithoutReadyEntriesLeavesOutSilentOnes names a:1 and d:1, which were never heard from. It passes after.

--- a/coordination/overseer/addresses.go
+++ b/coordination/overseer/addresses.go
@@ -15,11 +15,14 @@
 
 // Addresses returns the sorted caller addresses for a data centre and region: of ready entries in the data centre if
 // there are at least minAddresses, else in the region, else anywhere. If no entry is ready, it returns the addresses of
-// all registered entries.
+// all present entries, or of all registered ones if no other is present, as this one may be cut off from them.
 func (s State) Addresses(centre, region string, now time.Duration) []string {
-	var inCentre, inRegion, all, registered []string
-	add := func(address, c, r string, ready bool) {
+	var inCentre, inRegion, all, present, registered []string
+	add := func(address, c, r string, ready, isPresent bool) {
 		registered = append(registered, address)
+		if isPresent {
+			present = append(present, address)
+		}
 		if !ready {
 			return
 		}
@@ -31,17 +34,20 @@
 			inCentre = append(inCentre, address)
 		}
 	}
-	add(s.self.Callers, s.self.Centre, s.self.Region, s.IsReady(now))
+	add(s.self.Callers, s.self.Centre, s.self.Region, s.IsReady(now), true)
 	for _, e := range s.peers {
-		add(e.peer.Callers, e.peer.Centre, e.peer.Region, s.isUsable(e, now))
+		add(e.peer.Callers, e.peer.Centre, e.peer.Region, s.isUsable(e, now), s.isPresent(e, now))
 	}
 	for _, list := range [][]string{inCentre, inRegion, all} {
 		if len(list) >= minAddresses {
 			return s.selected(list)
 		}
 	}
-	if len(all) > 0 {
+	switch {
+	case len(all) > 0:
 		return s.selected(all)
+	case len(present) >= minAddresses:
+		return s.selected(present)
 	}
 	return s.selected(registered)
 }
--- a/coordination/overseer/overseer_test.go
+++ b/coordination/overseer/overseer_test.go
@@ -227,6 +227,20 @@
 	}
 }
 
+// TestDirectoryWithoutReadyEntriesLeavesOutSilentOnes guards against callers that are sent to dead entries as no live one is ready.
+func TestDirectoryWithoutReadyEntriesLeavesOutSilentOnes(t *testing.T) {
+	now := 10 * second
+	peers := []peer.Peer{other("a", "x"), other("c", "y"), other("d", "y")}
+	start, _ := apply(overseer.New(self), overseer.PeersListed{Peers: peers, At: second})
+	if diff := cmp.Diff([]string{"a:1", "b:1", "c:1", "d:1"}, start.Addresses("x", "r", now)); diff != "" {
+		t.Errorf("without another one: %s", diff)
+	}
+	s, _ := apply(start, overseer.HeartbeatReceived{Heartbeat: peer.Heartbeat{Name: "c", Start: 7}, At: now})
+	if diff := cmp.Diff([]string{"b:1", "c:1"}, s.Addresses("x", "r", now)); diff != "" {
+		t.Errorf("with a live one: %s", diff)
+	}
+}
+
 // TestCrashesSpreadAndRefuse has two entries see runners lost under one request and exchange a heartbeat: the third
 // loss makes the entry that learns of it refuse the request, whichever entry saw it, until the crashes expire.
 func TestCrashesSpreadAndRefuse(t *testing.T) {
