--- a/transport/conduit/conduit.go
+++ b/transport/conduit/conduit.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/kingcupstile/kingcupstile/coordination/budgeter"
+	"github.com/kingcupstile/kingcupstile/protocol/examiner"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 )
 
@@ -98,8 +99,8 @@
 	}
 	//nolint:bodyclose // closing the connection ends the body, which holds nothing else
 	x.answer, err = readHead(connection, r.Method)
-	if err == nil && x.answer.StatusCode < http.StatusOK {
-		err = errors.Newf("informational status %d instead of a final answer", x.answer.StatusCode)
+	if err == nil {
+		err = examiner.Check(x.answer)
 	}
 	if err != nil {
 		x.close()
--- /dev/null
+++ b/transport/gateway/status_test.go
@@ -0,0 +1,46 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/kingcupstile/kingcupstile/standin/garbler"
+)
+
+// TestStatusLineThatIsNone guards against bytes of a runner that are no answer of HTTP and reach a caller as one: on each kind of route it
+// is told 502, without the runner's headers, and what may be repeated is sent once more.
+func TestStatusLineThatIsNone(t *testing.T) {
+	for _, line := range garbler.Lines() {
+		t.Run(line, func(t *testing.T) {
+			t.Parallel()
+			g, err := garbler.New(line)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer g.Close()
+			d := newDeployment(t)
+			for id, service := range map[string]string{"pool-a": "pool", "pool-b": "pool", "desk-a": "desk", "desk-b": "desk"} {
+				d.store.Put("servers", id, map[string]any{"service": service, "addr": g.Address(), "zone": "z", "slots": 4, "state": "ready"})
+			}
+			d.await("sent to the garbler", func() bool {
+				before := d.runs("desk") + d.runs("pool")
+				for range 3 {
+					// Neither is sent twice, so that the budget for retries stays whole.
+					d.call(http.MethodPost, "/file/", "", nil)
+					d.call(http.MethodPost, "/draft/once/x", "", nil)
+				}
+				return d.runs("desk")+d.runs("pool") == before
+			})
+			for path, attempts := range map[string]int{"/look/": 2, "/file/": 1, "/draft/x": 2, "/draft/once/x": 1} {
+				before := g.Runs()
+				a := d.call(http.MethodPost, path, "", nil)
+				if a.err != nil || a.status != http.StatusBadGateway || a.header.Get("X-Server-Seal") != "" {
+					t.Errorf("%s: %+v", path, a)
+				}
+				if got := g.Runs() - before; got != attempts {
+					t.Errorf("%s: %d attempts, want %d", path, got, attempts)
+				}
+			}
+		})
+	}
+}
