--- a/standin/garbler/garbler.go
+++ b/standin/garbler/garbler.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -21,16 +22,26 @@
 type Garbler struct {
 	listener net.Listener
 	line     string
+	header   http.Header
 	runs     atomic.Int64
 }
 
+// Option sets a field of a Garbler under construction.
+type Option func(*Garbler)
+
+// Header adds headers to the answers.
+func Header(h http.Header) Option { return func(g *Garbler) { g.header = h } }
+
 // New returns a garbler that listens on loopback.
-func New(line string) (*Garbler, error) {
+func New(line string, options ...Option) (*Garbler, error) {
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	g := &Garbler{listener: l, line: line}
+	for _, option := range options {
+		option(g)
+	}
 	go g.serve()
 	return g, nil
 }
@@ -54,7 +65,7 @@
 	}
 }
 
-// answer answers one request, with the headers of a sound runner.
+// answer answers one request, with its identifier and a whole body.
 func (g *Garbler) answer(connection net.Conn) {
 	defer func() { _ = connection.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(connection))
@@ -63,9 +74,10 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	g.runs.Add(1)
-	const (
-		body   = `{"asOf":7,"entries":[]}`
-		answer = "%s\r\nX-Request-Id: %s\r\nX-Server-Seal: seal\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
-	)
-	_, _ = fmt.Fprintf(connection, answer, g.line, r.Header.Get("X-Request-Id"), len(body), body)
+	const body = `{"asOf":7,"entries":[]}`
+	var answer bytes.Buffer
+	_, _ = fmt.Fprintf(&answer, "%s\r\nX-Request-Id: %s\r\nContent-Type: application/json\r\n", g.line, r.Header.Get("X-Request-Id"))
+	_ = g.header.Write(&answer)
+	_, _ = fmt.Fprintf(&answer, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	_, _ = connection.Write(answer.Bytes())
 }
--- a/transport/gateway/status_test.go
+++ b/transport/gateway/status_test.go
@@ -13,7 +13,7 @@
 	for _, line := range garbler.Lines() {
 		t.Run(line, func(t *testing.T) {
 			t.Parallel()
-			g, err := garbler.New(line)
+			g, err := garbler.New(line, garbler.Header(http.Header{"X-Server-Seal": {"seal"}}))
 			if err != nil {
 				t.Fatal(err)
 			}
