conductor: Give no version to two maps

The next switch took a version above those that ranks report, which do not show one whose orders are under way, and the check of a copy sees one rank's experts only.

The leader keeps the highest version that it gave to a map, and goes above it. A late order is then one of a lower version.

Before: TestVersionIsGivenToOneMap: "version 1007 at 10.2s" with a second map.

--- a/coordination/conductor/conductor_test.go
+++ b/coordination/conductor/conductor_test.go
@@ -587,3 +587,47 @@
 		}
 	}
 }
+
+// TestVersionIsGivenToOneMap guards against ranks that run one version of two maps, as orders of a switch that was abandoned are carried
+// out while the next one is prepared: no order is answered, and each switch has another map.
+func TestVersionIsGivenToOneMap(t *testing.T) {
+	s, _ := conductor.Step(conductor.New(address(0), 7), conductor.RunnersListed{Runners: addresses(), Shape: shape})
+	maps, plans := map[uint64]string{}, 0
+	for at := time.Second; at < time.Minute; at += 20 * time.Millisecond {
+		var effects []conductor.Effect
+		s, effects = conductor.Step(s, conductor.Tick{At: at})
+		for len(effects) > 0 {
+			var event conductor.Event
+			switch e := effects[0].(type) {
+			case conductor.FetchReport:
+				report := rank.Report{Group: "g", Epoch: 1, Rank: rankOf(e.Runner), Size: ranks, GroupOpen: true, Step: uint64(at / passInterval)}
+				event = conductor.ReportReceived{Runner: e.Runner, Report: report, At: at}
+			case conductor.FetchDemand:
+				counts := make([]uint64, sets*experts)
+				counts[plans%len(counts)] = 100
+				event = conductor.DemandReceived{Epoch: 1, Counts: counts}
+			case conductor.ComputePlan:
+				plans++
+				layout := leveler.InitialLayout(sets, experts, ranks)
+				layout[0][1] = append(layout[0][1], plans%ranks)
+				event = conductor.PlanComputed{ID: e.ID, Plan: leveler.Plan{Layout: layout}, Pays: true, At: at}
+			}
+			for _, g := range sentOrders(effects[:1]) {
+				text := fmt.Sprint(g.Order.Layout)
+				if before, found := maps[g.Order.Version]; found && before != text {
+					t.Fatalf("version %d at %v: %s, before %s", g.Order.Version, at, text, before)
+				}
+				maps[g.Order.Version] = text
+			}
+			effects = effects[1:]
+			if event != nil {
+				var more []conductor.Effect
+				s, more = conductor.Step(s, event)
+				effects = append(effects, more...)
+			}
+		}
+	}
+	if len(maps) < 5 {
+		t.Errorf("only %d switches were begun", len(maps))
+	}
+}
--- a/coordination/conductor/settle.go
+++ b/coordination/conductor/settle.go
@@ -120,7 +120,8 @@
 	for i := range layout {
 		layout[i][0] = append(layout[i][0], missingExperts(layout[i], s.shape.Experts)...)
 	}
-	s.target, s.version, s.rollingBack = layout, s.nextVersion(list), true
+	s = s.withTarget(layout, list)
+	s.rollingBack = true
 	return s, []Effect{Log{Message: "rolling back a switch: preparing a newer version",
 		Args: []any{"step", s.heldStep, "epoch", s.epoch, "version", s.version}}}, true
 }
--- a/coordination/conductor/state.go
+++ b/coordination/conductor/state.go
@@ -86,6 +86,9 @@
 	countsAt   time.Duration
 	phase      Phase
 	phaseSince time.Duration
+	// assigned is the highest version that this start of the process gave to a map, also in a switch that was abandoned: an order for it may
+	// still be carried out.
+	assigned uint64
 	// epoch is the epoch of the group for which the fields from layout to rollingBack hold.
 	epoch uint64
 	// layout is the map in use, nil while it is unknown, and layoutVersion its version. version is the same or, during
@@ -191,10 +194,13 @@
 	return s
 }
 
-// nextVersion returns a version above all that the ranks report, with the salt that sets it apart from versions of
-// other starts of the process.
-func (s State) nextVersion(members []string) uint64 {
-	return (max(s.version, s.highestVersion(members))/versionStride+1)*versionStride + s.salt
+// withTarget returns the state with a map for ranks to prepare, and gives it a version: one above all that the ranks report and all that
+// this start of the process has given to a map, with the salt that sets it apart from versions of other starts.
+func (s State) withTarget(target rank.Layout, members []string) State {
+	highest := max(s.version, s.assigned, s.highestVersion(members))
+	s.assigned = (highest/versionStride+1)*versionStride + s.salt
+	s.target, s.version = target, s.assigned
+	return s
 }
 
 // highestVersion returns the highest version in the ranks' reports.
--- a/coordination/conductor/step.go
+++ b/coordination/conductor/step.go
@@ -336,7 +336,7 @@
 	if s.pendingBase != s.layoutVersion || now-s.pendingSince > maxPlanAge {
 		return s, nil
 	}
-	s.target, s.version = plan.Layout, s.nextVersion(members)
+	s = s.withTarget(plan.Layout, members)
 	s = s.withPhase(PhasePreparing, now)
 	s, effects := s.advance(now)
 	return s, append([]Effect{Log{Message: "starting a switch to a new expert map", Args: []any{
