forwarder: Have the test of a full data centre wait for what operators see

Traced: each request leaves by a random draw below the share, which grows with each of them; the log line comes once the share has changed by half. In some runs all four leave before.

--- a/transport/forwarder/spill_test.go
+++ b/transport/forwarder/spill_test.go
@@ -97,16 +97,18 @@
 			w, metrics, log := newSpread(t, forwarder.Transfer(test.cost))
 			w.setOpen(slots)
 			w.open[w.address[away]] = 0
-			const calls, size = 4, 1000
-			served := 0
-			for range calls {
+			const least, most, size = 4, 100, 1000
+			const message = "share of requests that may go to another data centre changed"
+			// A request leaves by a random draw, and may do so before the share has grown so much that it is reported.
+			calls, served := int64(0), int64(0)
+			for ; calls < least || test.leave && calls < most && !strings.Contains(log.String(), message); calls++ {
 				if a := w.callWithin("/draft/x", strings.Repeat("x", size), 1500*time.Millisecond); a.Code == http.StatusOK {
 					served++
 				}
 			}
 			requests, sent := spilled(metrics, "spill_requests"), spilled(metrics, "spill_bytes")
 			if test.leave && (served != calls || requests != calls || sent < calls*size ||
-				strings.Count(log.String(), "share of requests that may go to another data centre changed") != 1) {
+				strings.Count(log.String(), message) != 1) {
 				t.Errorf("%d of %d served, %d requests and %d bytes reported, log %s", served, calls, requests, sent, log)
 			}
 			if !test.leave && (served > 0 || requests > 0 || sent > 0) {
