gateway: Draw the ports of tests from below the ephemeral ones

The tests looked for unused ports among those that the system gives to outgoing connections, and released them before the entry opened them, so that any connection of any process could take one in between. Ports are drawn from 10000 to 31999 now, and are unused by both TCP and UDP, as heartbeats and copies share one.

--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -49,30 +50,47 @@
 	goal int
 }
 
-// freeAddresses returns loopback addresses with unused TCP ports, all different: each is held until all are found.
+// Ports of entries are drawn from below those that the system gives to outgoing connections, as one of these may take a port between
+// the moment at which it is found unused and the one at which the entry opens it.
+const (
+	firstPort = 10_000
+	portCount = 22_000
+)
+
+// freeAddresses returns loopback addresses with ports that are unused by TCP and UDP, all different: each is held until all are found.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	addresses := make([]string, n)
-	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	addresses := make([]string, 0, n)
+	for tries := 0; len(addresses) < n; tries++ {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(portCount)))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			defer func() { _ = l.Close() }()
+			var socket net.PacketConn
+			if socket, err = net.ListenPacket("udp", address); err == nil {
+				defer func() { _ = socket.Close() }()
+				addresses = append(addresses, address)
+			}
+		}
+		if err != nil && tries > 100*n {
 			t.Fatal(err)
 		}
-		defer func() { _ = l.Close() }()
-		addresses[i] = l.Addr().String()
 	}
 	return addresses
 }
 
-// freePort returns an unused UDP port on loopback.
+// freePort returns a port that is unused by TCP and UDP on loopback.
 func freePort(t *testing.T) int {
 	t.Helper()
-	l, err := net.ListenPacket("udp", "127.0.0.1:0")
+	_, port, err := net.SplitHostPort(freeAddresses(t, 1)[0])
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.LocalAddr().(*net.UDPAddr).Port
+	n, err := strconv.Atoi(port)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
 }
 
 func newDeployment(t *testing.T) *deployment {
