overseer: Share unchanged entries between states

Each heartbeat clones the map of other entries. Its values were over 128 bytes, so that the clone allocated each of them anew. The map holds pointers to values that never change now.

No change of behaviour.

--- a/coordination/overseer/addresses.go
+++ b/coordination/overseer/addresses.go
@@ -35,7 +35,7 @@
 		}
 	}
 	add(s.self.Callers, s.self.Centre, s.self.Region, s.IsReady(now), true)
-	for _, e := range s.peers {
+	for _, e := range s.others() {
 		add(e.peer.Callers, e.peer.Centre, e.peer.Region, s.isUsable(e, now), s.isPresent(e, now))
 	}
 	for _, list := range [][]string{inCentre, inRegion, all} {
--- a/coordination/overseer/history.go
+++ b/coordination/overseer/history.go
@@ -175,17 +175,16 @@
 
 // withPeersRestored returns the entries that stay known although a restored store lacks them, or holds an earlier start of them: those that
 // this one hears from. What the copy holds beyond those known may have been removed since.
-func (s State) withPeersRestored(peers map[string]entry, at time.Duration) map[string]entry {
+func (s State) withPeersRestored(peers map[string]*entry, at time.Duration) map[string]*entry {
 	for name, e := range peers {
-		if _, found := s.peers[name]; !found {
+		if _, found := s.find(name); !found {
 			e.isUnproved = true
-			peers[name] = e
 		}
 	}
-	for name, e := range s.peers {
+	for name, e := range s.others() {
 		if listed, found := peers[name]; s.isLive(e, at) && (!found || listed.peer.Start < e.peer.Start) {
 			e.keptUntil = at + restoreTime
-			peers[name] = e
+			peers[name] = &e
 		}
 	}
 	return peers
@@ -249,7 +248,7 @@
 	s.history.isJoined = b.Ready
 	if !b.Ready {
 		s.history.isJoined = true
-		for _, e := range s.peers {
+		for _, e := range s.others() {
 			s.history.isJoined = s.history.isJoined && e.heardAt > 0
 		}
 	}
--- a/coordination/overseer/links.go
+++ b/coordination/overseer/links.go
@@ -44,7 +44,7 @@
 // links returns this entry's links among the present entries.
 func (s State) links(now time.Duration) linker.Links {
 	names := []string{s.self.Name}
-	for _, e := range s.peers {
+	for _, e := range s.others() {
 		if s.isPresent(e, now) {
 			names = append(names, e.peer.Name)
 		}
@@ -78,7 +78,7 @@
 		return s
 	}
 	linked := s.links(at).All()
-	for name, e := range s.peers {
+	for name, e := range s.others() {
 		switch is := slices.Contains(linked, name); {
 		case is && e.linkedAt == 0:
 			e.linkedAt = at
@@ -94,7 +94,7 @@
 func (s State) registrations(names []string) []peer.Peer {
 	list := make([]peer.Peer, 0, len(names))
 	for _, name := range names {
-		if e, found := s.peers[name]; found {
+		if e, found := s.find(name); found {
 			list = append(list, e.peer)
 		}
 	}
@@ -121,11 +121,11 @@
 	}
 	var list []peer.Silence
 	for _, name := range s.links(now).All() {
-		if e, found := s.peers[name]; found && e.isLinkSilent(now) {
+		if e, found := s.find(name); found && e.isLinkSilent(now) {
 			list = withSilence(list, e, now-e.linkSilentAt())
 		}
 	}
-	for _, e := range s.peers {
+	for _, e := range s.others() {
 		if e.silentAt > e.heardAt && now-e.silentAt < maxReportAge {
 			list = withSilence(list, e, now-e.silentSince)
 		}
@@ -141,7 +141,7 @@
 		return list
 	}
 	list = slices.Clip(list)
-	for _, e := range s.peers {
+	for _, e := range s.others() {
 		if e.silentAt > e.heardAt {
 			list = withSilence(list, e, now-e.silentSince)
 		}
@@ -187,7 +187,7 @@
 			}
 			continue
 		}
-		e, found := s.peers[silence.Name]
+		e, found := s.find(silence.Name)
 		since := at - silence.Age
 		if !found || e.peer.Start != silence.Start || e.silentAt > e.heardAt || e.heardAt > 0 && since <= e.heardAt {
 			continue
--- a/coordination/overseer/parts.go
+++ b/coordination/overseer/parts.go
@@ -64,7 +64,7 @@
 
 // hearsOfMore reports whether an entry was heard from, since this one started or was paused, that may know more.
 func (s State) hearsOfMore() bool {
-	for _, e := range s.peers {
+	for _, e := range s.others() {
 		isOlder := e.peer.Start < s.self.Start-sameStart.Nanoseconds()
 		if e.heardAt >= s.runningSince && (isOlder || s.wasPaused) {
 			return true
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -115,7 +115,8 @@
 	unreachable      bool
 	// recoveredAt is when the last outage of at least minOutage ended, 0 for never.
 	recoveredAt time.Duration
-	peers       map[string]entry
+	// peers are the other entries by name. What a pointer leads to never changes, so that maps share it.
+	peers       map[string]*entry
 	hasPeers    bool
 	leaving     bool
 	// crashes are the runners lost that held unanswered requests, and parts is what is known of the parts of these, seen
@@ -147,7 +148,7 @@
 
 // New returns the state of an entry that has no configuration, runners or peers yet.
 func New(self peer.Peer, options ...Option) State {
-	s := State{self: self, maxStaleness: DefaultMaxStaleness, retained: map[string]retainedRunner{}, peers: map[string]entry{}}
+	s := State{self: self, maxStaleness: DefaultMaxStaleness, retained: map[string]retainedRunner{}, peers: map[string]*entry{}}
 	for _, option := range options {
 		option(&s)
 	}
@@ -185,7 +186,7 @@
 // IsRoot reports whether this entry is one of the first relayCount present ones by name, from which the others learn.
 func (s State) IsRoot(now time.Duration) bool {
 	before := 0
-	for _, e := range s.peers {
+	for _, e := range s.others() {
 		if e.peer.Name < s.self.Name && s.isPresent(e, now) {
 			before++
 		}
@@ -215,7 +216,8 @@
 	all := sync.OnceValue(func() []peer.Silence { return s.withAllSilences(common.Silences, now) })
 	heartbeats := make(map[string]peer.Heartbeat, len(list))
 	for _, to := range list {
-		b, e := common, s.peers[to.Name]
+		b := common
+		e, _ := s.find(to.Name)
 		if s.isJoining(e, now) {
 			b.Silences = all()
 		}
@@ -245,7 +247,7 @@
 // Peers returns the other entries' registrations.
 func (s State) Peers() []peer.Peer {
 	list := make([]peer.Peer, 0, len(s.peers))
-	for _, e := range s.peers {
+	for _, e := range s.others() {
 		list = append(list, e.peer)
 	}
 	return list
@@ -255,7 +257,7 @@
 // latest registered start.
 func (s State) Heartbeats(now time.Duration) []peer.Heartbeat {
 	var list []peer.Heartbeat
-	for _, e := range s.peers {
+	for _, e := range s.others() {
 		if s.isLive(e, now) {
 			list = append(list, e.heartbeat)
 		}
--- a/coordination/overseer/step.go
+++ b/coordination/overseer/step.go
@@ -1,6 +1,7 @@
 package overseer
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -210,18 +211,18 @@
 		return s
 	}
 	isRestored := s.hasPeers && s.isRestored(known, e.Position, e.At)
-	peers := make(map[string]entry, len(e.Peers))
+	peers := make(map[string]*entry, len(e.Peers))
 	for _, p := range e.Peers {
 		if p.Name != s.self.Name {
-			peers[p.Name] = s.merged(p, e.At)
+			peers[p.Name] = new(s.merged(p, e.At))
 		}
 	}
 	if isRestored {
 		peers = s.withPeersRestored(peers, e.At)
 	}
-	for name, kept := range s.peers {
+	for name, kept := range s.others() {
 		if _, found := peers[name]; !found && e.At < kept.keptUntil {
-			peers[name] = kept
+			peers[name] = &kept
 		}
 	}
 	isLost := s.hasPeers && e.Position.Era > known.Era
@@ -232,7 +233,7 @@
 
 // merged returns an entry with a new registration, keeping the last heartbeat if it came from the same start.
 func (s State) merged(p peer.Peer, at time.Duration) entry {
-	e, found := s.peers[p.Name]
+	e, found := s.find(p.Name)
 	if !found || e.peer.Start != p.Start {
 		return entry{peer: p, listedAt: at}
 	}
@@ -252,14 +253,14 @@
 		case c.Removed || !c.Valid:
 			delete(s.peers, c.Name)
 		default:
-			s.peers[c.Name] = s.merged(c.Item, at)
+			s.peers[c.Name] = new(s.merged(c.Item, at))
 		}
 	}
 	return s
 }
 
 func (s State) withHeartbeat(b peer.Heartbeat, at time.Duration) (State, []Effect) {
-	e, found := s.peers[b.Name]
+	e, found := s.find(b.Name)
 	if !found || b.Start != e.peer.Start {
 		return s, nil
 	}
@@ -279,10 +280,29 @@
 	return s.withJoined(b), slices.Concat(missing, effects, lost, judged)
 }
 
+// find returns another entry by its name, and false if it is not known.
+func (s State) find(name string) (entry, bool) {
+	if e, found := s.peers[name]; found {
+		return *e, true
+	}
+	return entry{}, false
+}
+
+// others returns the other entries by their names.
+func (s State) others() iter.Seq2[string, entry] {
+	return func(yield func(string, entry) bool) {
+		for name, e := range s.peers {
+			if !yield(name, *e) {
+				return
+			}
+		}
+	}
+}
+
 // withEntry returns the state with another entry replaced.
 func (s State) withEntry(e entry) State {
 	s.peers = maps.Clone(s.peers)
-	s.peers[e.peer.Name] = e
+	s.peers[e.peer.Name] = &e
 	return s
 }
 
@@ -374,7 +394,7 @@
 		s.loggedFresh = fresh
 		effects = append(effects, Log{Message: "configuration freshness changed", Args: []any{"fresh", fresh, "age", s.Age(at)}})
 	}
-	for name, e := range s.peers {
+	for name, e := range s.others() {
 		if at-max(e.heardAt, e.listedAt) > max(deregisterAfter, s.heartbeatTimeout()) && s.isCleanupLeader(at) {
 			s.peers = maps.Clone(s.peers)
 			delete(s.peers, name)
