sequencer: Take numbers of events that rise by more than one for sound

The users' page says that the ids of events increase.

Cause: a number that does not follow on the last one was taken for a gap, wherever it came from. Within a run nothing can be missing, as all its events come on one connection in order. Only between two runs may the second go on at the wrong place, and only where numbers are known to rise by one does that show.

Now numbers within a run only have to rise; the first event of a run has to follow on the last one where all numbers rose by one before.

--- a/coordination/sequencer/sequencer.go
+++ b/coordination/sequencer/sequencer.go
@@ -11,7 +11,7 @@
 	VerdictForward Verdict = "forward"
 	// VerdictSkip says that the event was forwarded before.
 	VerdictSkip Verdict = "skip"
-	// VerdictGap says that events are missing before this one.
+	// VerdictGap says that events are missing between the runs before and this one.
 	VerdictGap Verdict = "gap"
 )
 
@@ -22,6 +22,9 @@
 	isKnown bool
 	// isUnnumbered says that the last forwarded event has no number.
 	isUnnumbered bool
+	// isDense says that numbers rose by one so far, at least once, and isSparse that a run left out some. isRunStart says that the next
+	// event is the first one of a run.
+	isDense, isSparse, isRunStart bool
 }
 
 // HasBegun reports whether an event was forwarded.
@@ -42,16 +45,25 @@
 	return strconv.FormatInt(p.number, 10)
 }
 
-// WithEvent returns the position after the event with a number, and the verdict on it; only an event that is forwarded changes the
-// position.
+// WithRun returns the position before the first event of a run. Where numbers rose by one so far, the run has to go on with the one that
+// follows.
+func (p Position) WithRun() Position {
+	p.isRunStart = true
+	return p
+}
+
+// WithEvent returns the position after the event with a number, and the verdict on it. Within a run numbers only have to rise.
 func (p Position) WithEvent(number int64) (Position, Verdict) {
-	switch {
-	case p.isKnown && number <= p.number:
-		return p, VerdictSkip
-	case p.isKnown && number != p.number+1:
+	leavesOut := p.isKnown && number > p.number+1
+	if p.isRunStart && leavesOut && p.isDense {
 		return p, VerdictGap
 	}
-	return Position{number: number, isKnown: true}, VerdictForward
+	p.isRunStart = false
+	if p.isKnown && number <= p.number {
+		return p, VerdictSkip
+	}
+	isSparse := p.isSparse || leavesOut
+	return Position{number: number, isKnown: true, isDense: p.isKnown && !isSparse, isSparse: isSparse}, VerdictForward
 }
 
 // WithUnnumbered returns the position after an event without a number, which is always forwarded.
--- a/transport/forwarder/live.go
+++ b/transport/forwarder/live.go
@@ -329,6 +329,9 @@
 	case err != nil:
 		return c.handleFailure(ctx, err, true)
 	}
+	if e.HasFields && c.lastEventAt == 0 {
+		c.exchange.position = c.exchange.position.WithRun()
+	}
 	if e.HasFields {
 		c.recordGap()
 	}
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -478,6 +478,32 @@
 	}
 }
 
+// TestNumbersThatRiseByMore guards against sound streams that are broken off, as the numbers of their events only have to rise.
+func TestNumbersThatRiseByMore(t *testing.T) {
+	d := newDeployment(t)
+	d.moveAway("pool-b", "pool")
+	for _, id := range []string{"pool-a", "pool-b"} {
+		d.runners[id].EventStep = 4
+	}
+	want := ""
+	for n := 1; n <= 17; n += 4 {
+		want += events(n, n)
+	}
+	for _, path := range []string{"/draft/once/x", "/draft/x"} {
+		if a := d.call(http.MethodPost, path, "", nil); a.err != nil || a.body != want {
+			t.Errorf("%s: %+v", path, a)
+		}
+	}
+	d.runners["pool-a"].SetFault(site.FaultTruncated)
+	if a := d.call(http.MethodPost, "/draft/x", "", nil); a.err != nil || a.body != want {
+		t.Errorf("resumed: %+v", a)
+	}
+	a := d.call(http.MethodPost, "/draft/x", "", map[string]string{"Last-Event-Id": "13"})
+	if a.err != nil || a.body != events(17, 17) {
+		t.Errorf("resumed by the caller: %+v", a)
+	}
+}
+
 // TestStreamWithoutNumbersIsNotBegunAnew guards against events that come twice, as a stream whose events have no numbers was sent to
 // another runner after some of them were forwarded.
 func TestStreamWithoutNumbersIsNotBegunAnew(t *testing.T) {
