conductor: Pause between orders that a rank refuses

A rank that refuses an order (409) answers with its report, and the leader sent the next order at once: 1000 a second where the way takes 1 ms (TestRefusedOrderIsRepeatedWithPauses on the code before), until the switch is given up after 6 s.

Cause: the answer to an order said nothing of its outcome, so that any report began the next attempt. Reports that answer an order now carry what became of it. The first order after a refusal still follows at once, as the report that comes with it corrects the number of orders; those after it wait 40, 80 and then 160 ms, as a step may be held meanwhile. The test gives at most 12 a second.

--- a/coordination/conductor/conductor_test.go
+++ b/coordination/conductor/conductor_test.go
@@ -303,7 +303,10 @@
 			sim.schedule(15*time.Millisecond, func() { poll(nil) })
 			return
 		}
-		answer := conductor.ReportReceived{Runner: e.Runner, Report: report, At: sim.now}
+		answer := conductor.ReportReceived{Runner: e.Runner, Report: report, Outcome: conductor.OutcomeBegun, At: sim.now}
+		if result != nil {
+			answer.Outcome = conductor.OutcomeRefused
+		}
 		if held := sim.group.Holdings(to); held.PreparedVersion == e.Order.Version && e.Order.Layout.HasExperts(to, held.Copied) {
 			answer.VerifiedVersion = e.Order.Version
 		}
@@ -631,3 +634,58 @@
 		t.Errorf("only %d switches were begun", len(maps))
 	}
 }
+
+// TestRefusedOrderIsRepeatedWithPauses guards against a leader that sends a rank the same order as fast as it refuses it, and against one
+// that pauses when the first refusal only said that the leader's report was old.
+func TestRefusedOrderIsRepeatedWithPauses(t *testing.T) {
+	s, _ := conductor.Step(conductor.New(address(0), 7), conductor.RunnersListed{Runners: addresses(), Shape: shape})
+	report := func(name string, at time.Duration) conductor.ReportReceived {
+		r := rank.Report{Group: "g", Epoch: 1, Rank: rankOf(name), Size: ranks, GroupOpen: true, Step: uint64(at / passInterval)}
+		return conductor.ReportReceived{Runner: name, Report: r, At: at}
+	}
+	var sent []time.Duration
+	pending := map[string]conductor.ReportReceived{}
+	for at := time.Second; at < 4*time.Second; at += time.Millisecond {
+		events := []conductor.Event{}
+		if at%(20*time.Millisecond) == 0 {
+			events = append(events, conductor.Tick{At: at})
+		}
+		for name := range pending {
+			e := report(name, at)
+			e.Outcome = conductor.OutcomeRefused
+			events = append(events, e)
+		}
+		clear(pending)
+		for len(events) > 0 {
+			var effects []conductor.Effect
+			s, effects = conductor.Step(s, events[0])
+			events = events[1:]
+			for _, effect := range effects {
+				switch e := effect.(type) {
+				case conductor.FetchReport:
+					events = append(events, report(e.Runner, at))
+				case conductor.FetchDemand:
+					counts := make([]uint64, sets*experts)
+					counts[0] = 100
+					events = append(events, conductor.DemandReceived{Epoch: 1, Counts: counts})
+				case conductor.ComputePlan:
+					layout := leveler.InitialLayout(sets, experts, ranks)
+					layout[0][1] = append(layout[0][1], 0)
+					events = append(events, conductor.PlanComputed{ID: e.ID, Plan: leveler.Plan{Layout: layout}, Pays: true, At: at})
+				case conductor.SendOrder:
+					// The refusal comes 1 ms later.
+					pending[e.Runner] = conductor.ReportReceived{}
+					if e.Runner == address(1) {
+						sent = append(sent, at)
+					}
+				}
+			}
+		}
+	}
+	if len(sent) < 3 || sent[1]-sent[0] > 5*time.Millisecond {
+		t.Fatalf("sent at %v", sent)
+	}
+	if perSecond := float64(len(sent)) / (4*time.Second - sent[0]).Seconds(); perSecond > 12 {
+		t.Errorf("%.0f orders a second to a rank that refuses them", perSecond)
+	}
+}
--- a/coordination/conductor/event.go
+++ b/coordination/conductor/event.go
@@ -27,10 +27,22 @@
 	Bounds        leveler.Bounds
 }
 
+// Outcome says what became of an order.
+type Outcome string
+
+// The outcomes of an order. One that is not known to have begun may be carried out later.
+const (
+	OutcomeBegun   Outcome = "begun"
+	OutcomeRefused Outcome = "refused"
+	OutcomeUnknown Outcome = "unknown"
+)
+
 // ReportReceived holds a runner's report. It answers FetchReport and SendOrder.
 type ReportReceived struct {
 	Runner string
 	Report rank.Report
+	// Outcome is that of the order which it answers, empty if it answers none.
+	Outcome Outcome
 	// VerifiedVersion is the prepared version whose copy was compared with the order, 0 for none.
 	VerifiedVersion uint64
 	At              time.Duration
--- a/coordination/conductor/state.go
+++ b/coordination/conductor/state.go
@@ -45,6 +45,11 @@
 	// same while the runner copies a map.
 	callTimeout        = 400 * time.Millisecond
 	prepareCallTimeout = 3 * time.Second
+	// minRefusalPause is the pause before the third order to a runner that refused two in a row. It doubles, maxDoublings times at most, up
+	// to maxRefusalPause: a step may be held meanwhile.
+	minRefusalPause = 40 * time.Millisecond
+	maxRefusalPause = 160 * time.Millisecond
+	maxDoublings    = 2
 	// prepareTimeout limits PhasePreparing. It allows for twelve copies of 0.1 s each and for delayed orders.
 	prepareTimeout = 6 * time.Second
 	// takeoverDelay is how long no pass may begin before another process checks for a held step and takes over the
@@ -71,6 +76,24 @@
 	holdingsAt    time.Duration
 	// verifiedVersion is the prepared version whose copy was compared with the order, 0 for none.
 	verifiedVersion uint64
+	// refusals is how many orders in a row the runner refused, and retryAt when it may be sent the next one.
+	refusals int
+	retryAt  time.Duration
+}
+
+// withOutcome returns the view after the outcome of an order became known. A refusal comes with a report by which the next order may do; if
+// that is refused, too, the ones after it are sent after pauses.
+func (v view) withOutcome(o Outcome, at time.Duration) view {
+	switch o {
+	case OutcomeBegun:
+		v.refusals, v.retryAt = 0, 0
+	case OutcomeRefused:
+		v.refusals++
+		if v.refusals > 1 {
+			v.retryAt = at + min(maxRefusalPause, minRefusalPause<<min(v.refusals-2, maxDoublings))
+		}
+	}
+	return v
 }
 
 // State is the state of the endpoint process beside one rank. It is immutable: Step returns a changed copy.
--- a/coordination/conductor/step.go
+++ b/coordination/conductor/step.go
@@ -67,7 +67,7 @@
 
 // withReport stores a report unless a newer one is known.
 func (s State) withReport(e ReportReceived) State {
-	v := s.view(e.Runner)
+	v := s.view(e.Runner).withOutcome(e.Outcome, e.At)
 	v.callDeadline = 0
 	isLagging := e.Report.IsLagged && e.Report.Epoch == v.report.Epoch && e.At-v.reportedAt < maxReportLag
 	if v.known && (isOlder(e.Report, v.report) || isLagging) {
@@ -377,10 +377,10 @@
 	return order
 }
 
-// sendOrder sends a runner an order unless a call to it is under way.
+// sendOrder sends a runner an order unless a call to it is under way, or it refused the last orders just now.
 func (s State) sendOrder(name string, verb rank.Verb, now time.Duration, effects []Effect) (State, []Effect) {
 	v := s.view(name)
-	if now < v.callDeadline {
+	if now < max(v.callDeadline, v.retryAt) {
 		return s, effects
 	}
 	v.callDeadline = now + callTimeout
--- a/coordination/overseer/state.go
+++ b/coordination/overseer/state.go
@@ -116,9 +116,9 @@
 	// recoveredAt is when the last outage of at least minOutage ended, 0 for never.
 	recoveredAt time.Duration
 	// peers are the other entries by name. What a pointer leads to never changes, so that maps share it.
-	peers       map[string]*entry
-	hasPeers    bool
-	leaving     bool
+	peers    map[string]*entry
+	hasPeers bool
+	leaving  bool
 	// crashes are the runners lost that held unanswered requests, and parts is what is known of the parts of these, seen
 	// by this entry or reported by others.
 	crashes suspect.Crashes
--- a/transport/caretaker/caretaker.go
+++ b/transport/caretaker/caretaker.go
@@ -198,7 +198,20 @@
 		c.send(conductor.CallFailed{Runner: e.Runner, At: c.deps.Clock.Now()})
 		return
 	}
-	c.send(conductor.ReportReceived{Runner: e.Runner, Report: done.Report, VerifiedVersion: done.VerifiedVersion, At: c.deps.Clock.Now()})
+	c.send(conductor.ReportReceived{
+		Runner: e.Runner, Report: done.Report, Outcome: outcomeOf(done.Err), VerifiedVersion: done.VerifiedVersion, At: c.deps.Clock.Now(),
+	})
+}
+
+// outcomeOf returns the outcome of an order by the error of sending it.
+func outcomeOf(err error) conductor.Outcome {
+	switch {
+	case err == nil:
+		return conductor.OutcomeBegun
+	case fault.KindOf[kingcupstile.Kind](err) == kingcupstile.KindConflict:
+		return conductor.OutcomeRefused
+	}
+	return conductor.OutcomeUnknown
 }
 
 // outcome returns the value of an order's outcome in the log.
@@ -227,7 +240,7 @@
 	for i, name := range names {
 		targets[i].Address = name
 	}
-	c.group.Execute(ctx, rank.Order{}, targets, c.sendAnswers)
+	c.group.Execute(ctx, rank.Order{}, targets, func(results []ranker.Result) { c.sendAnswers("", results) })
 }
 
 // sendOrders sends many ranks the same order, some through others.
@@ -241,7 +254,7 @@
 		for _, r := range results {
 			outcomes <- r.Outcome()
 		}
-		c.sendAnswers(results)
+		c.sendAnswers(o.Verb, results)
 	})
 	close(outcomes)
 	counts := map[string]int{}
@@ -252,8 +265,8 @@
 		"outcomes", counts, "took", time.Since(start))
 }
 
-// sendAnswers passes the answers of ranks to the control state.
-func (c *Caretaker) sendAnswers(results []ranker.Result) {
+// sendAnswers passes the answers of ranks to the control state; with an empty verb, they answer requests for reports.
+func (c *Caretaker) sendAnswers(verb rank.Verb, results []ranker.Result) {
 	if len(results) == 0 {
 		return
 	}
@@ -263,7 +276,11 @@
 			e.Failed = append(e.Failed, r.Address)
 			continue
 		}
-		e.Reports = append(e.Reports, conductor.ReportReceived{Runner: r.Address, Report: r.Report, VerifiedVersion: r.VerifiedVersion, At: e.At})
+		report := conductor.ReportReceived{Runner: r.Address, Report: r.Report, VerifiedVersion: r.VerifiedVersion, At: e.At}
+		if verb != "" {
+			report.Outcome = outcomeOf(r.Err)
+		}
+		e.Reports = append(e.Reports, report)
 	}
 	c.send(e)
 }
