soak, site: Play restores of the store

The stand-in of the store takes a copy, cuts all calls while it is away, and comes back from the copy in the next era. The soak plays such drills beside its other faults, in series and overlapping with them; operators and runners write again what was lost after up to 1.5 s. In every second run there are few other faults, as an entry that starts anew forgets what went wrong. Checked from outside, beside what was: all entries are registered 5 s after the last fault, and no entry takes a key after it has taken the one that replaced it, in the same run of its process. Keys that were revoked within 1.5 s before the store went away count as revoked when that is written again.

--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -27,6 +27,10 @@
 	complete bool
 	body     string
 	sentAt   time.Time
+	endedAt  time.Time
+	// address is the entry's, and account the number of the account whose key was sent.
+	address string
+	account int
 }
 
 // recorder collects the results of all callers and issues their request IDs.
@@ -118,7 +122,7 @@
 
 // send sends one request and returns its result, with status 0 if no answer came.
 func (c *caller) send(ctx context.Context, address, path string) result {
-	s := result{id: c.results.nextID(), path: path, sentAt: time.Now()}
+	s := result{id: c.results.nextID(), path: path, sentAt: time.Now(), address: address}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path+"x", strings.NewReader("body of "+s.id))
 	if err != nil {
 		return s
@@ -132,12 +136,13 @@
 		account--
 	}
 	r.Header.Set("Authorization", "Token "+apiKey(account))
+	s.account = account
 	answer, err := c.client.Do(r)
 	if err != nil {
 		return s
 	}
 	defer func() { _ = answer.Body.Close() }()
 	text, err := io.ReadAll(answer.Body)
-	s.status, s.body, s.complete = answer.StatusCode, string(text), err == nil
+	s.status, s.body, s.complete, s.endedAt = answer.StatusCode, string(text), err == nil, time.Now()
 	return s
 }
--- a/lab/soak/command.go
+++ b/lab/soak/command.go
@@ -22,6 +22,7 @@
 			&cli.IntFlag{Name: "runs", Value: 10, Usage: "number of consecutive seeds to run"},
 			&cli.Uint64Flag{Name: "seed", Usage: "first seed, random if not given"},
 			&cli.DurationFlag{Name: "time", Value: 8 * time.Second, Usage: "how long faults are injected in each run"},
+			&cli.BoolFlag{Name: "drills", Value: true, Usage: "have the store come back from older copies beside the other faults"},
 			&cli.StringFlag{Name: "logs", Usage: "folder for the logs of the entries, a temporary one if not given"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -35,21 +36,23 @@
 			if firstSeed == 0 {
 				firstSeed = rand.Uint64N(1 << 32)
 			}
-			return runAll(ctx, out, logFolder, firstSeed, c.Int("runs"), c.Duration("time"))
+			return runAll(ctx, out, logFolder, firstSeed, c.Int("runs"), c.Duration("time"), Drills(c.Bool("drills")))
 		},
 	}
 }
 
 // runAll runs consecutive seeds and prints the result of each, with the faults and violations of a failed one. It
 // returns a KindBroken error if any run violated a guarantee.
-func runAll(ctx context.Context, out io.Writer, logFolder string, firstSeed uint64, runs int, faultTime time.Duration) error {
+func runAll(
+	ctx context.Context, out io.Writer, logFolder string, firstSeed uint64, runs int, faultTime time.Duration, options ...Option,
+) error {
 	binary, err := Build(ctx, logFolder)
 	if err != nil {
 		return err
 	}
 	failed := 0
 	for n := range uint64(runs) {
-		r, err := Run(ctx, firstSeed+n, binary, logFolder, faultTime)
+		r, err := Run(ctx, firstSeed+n, binary, logFolder, faultTime, options...)
 		if err != nil {
 			return err
 		}
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -16,7 +16,9 @@
 	testbed *testbed
 	entries []*process
 	record  func(kind, target string)
-	group   sync.WaitGroup
+	// pace is by what the pauses between faults are multiplied.
+	pace  int
+	group sync.WaitGroup
 }
 
 // maxFaultTime bounds the duration of a fault that is undone.
@@ -26,7 +28,7 @@
 func (i *injector) run(end time.Time) {
 	for time.Now().Before(end) {
 		i.injectOne()
-		time.Sleep(time.Duration(100+i.random.IntN(900)) * time.Millisecond)
+		time.Sleep(time.Duration(i.pace*(100+i.random.IntN(900))) * time.Millisecond)
 	}
 	i.group.Wait()
 }
@@ -124,5 +126,5 @@
 		i.record(err.Error(), p.id)
 		return
 	}
-	i.undoLater(func() { i.testbed.store.Remove("servers", p.id) })
+	i.undoLater(func() { i.testbed.deregister(p) })
 }
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -37,6 +38,7 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
+	starts  []time.Time
 	closed  bool
 	ended   chan struct{}
 }
@@ -49,11 +51,9 @@
 	}
 	p := &process{name: fmt.Sprint("entry-", number), binary: binary, store: proxy, ended: make(chan struct{})}
 	ip := fmt.Sprintf("127.0.0.%d", 10+number)
-	var addresses [4]string
-	for i := range addresses {
-		if addresses[i], err = freeAddress(ctx, ip); err != nil {
-			return nil, err
-		}
+	addresses, err := freeAddresses(ctx, ip, 4)
+	if err != nil {
+		return nil, err
 	}
 	p.callersAddress, p.lookupAddress = addresses[0], addresses[1]
 	_, internal, err := net.SplitHostPort(addresses[3])
@@ -95,7 +95,7 @@
 		command := exec.Command(p.binary, "serve", "--settings", p.settingsPath) //nolint:noctx // it ends by signals
 		command.Stdout, command.Stderr = p.log, p.log
 		err := command.Start()
-		p.command = command
+		p.command, p.starts = command, append(p.starts, time.Now())
 		p.mu.Unlock()
 		if err == nil {
 			_ = command.Wait()
@@ -104,6 +104,13 @@
 	}
 }
 
+// startTimes returns when the daemon was started, in order.
+func (p *process) startTimes() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.starts)
+}
+
 // restartDelay is the time between the exit of an entry and its next start.
 const restartDelay = 150 * time.Millisecond
 
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -22,6 +22,8 @@
 	// start and after the last fault; the time runs anew for each entry and type.
 	startTimeout    = 10 * time.Second
 	recoveryTimeout = 8 * time.Second
+	// calmPace is by how much longer than else the pauses between faults are in a run with few of them.
+	calmPace = 6
 	// minServedShare is the least share of the requests sent after the last fault that must be served.
 	minServedShare = 0.9
 )
@@ -37,9 +39,21 @@
 	Violations []string
 }
 
+// Option sets how a run is made.
+type Option func(*options)
+
+type options struct{ drills bool }
+
+// Drills has the store go away and come back from copies beside the other faults.
+func Drills(yes bool) Option { return func(o *options) { o.drills = yes } }
+
 // Run starts entries, sends them load while it injects the faults drawn from seed for the given length, and checks the
 // results. Logs go to a subfolder of folder. It returns a KindSetup error if the entries or the stand-ins do not start.
-func Run(ctx context.Context, seed uint64, binary, folder string, length time.Duration) (Report, error) {
+func Run(ctx context.Context, seed uint64, binary, folder string, length time.Duration, list ...Option) (Report, error) {
+	var with options
+	for _, option := range list {
+		option(&with)
+	}
 	report := Report{Seed: seed}
 	folder = filepath.Join(folder, fmt.Sprint("seed-", seed))
 	if err := os.MkdirAll(folder, 0o700); err != nil {
@@ -50,6 +64,7 @@
 		return report, err
 	}
 	defer bed.close()
+	first, firstAt := bed.store.Copy(), time.Now()
 	var processes []*process
 	defer func() {
 		for _, e := range processes {
@@ -74,25 +89,44 @@
 	for n := range uint64(callerCount) {
 		group.Go(func() { newCaller(rand.New(rand.NewPCG(seed, n)), bed, processes, results).run(loadCtx) })
 	}
-	var mu sync.Mutex
-	faults := &injector{random: rand.New(rand.NewPCG(seed, 1000)), testbed: bed, entries: processes, record: func(kind, target string) {
-		mu.Lock()
-		defer mu.Unlock()
-		report.Faults = append(report.Faults, fmt.Sprintf("%.2f %s %s", time.Since(start).Seconds(), kind, target))
-	}}
-	faults.run(start.Add(length))
+	report.inject(start, length, with, &injector{
+		random: rand.New(rand.NewPCG(seed, 1000)), testbed: bed, entries: processes, pace: 1,
+	}, &drills{random: rand.New(rand.NewPCG(seed, 2000)), testbed: bed, first: first, firstAt: firstAt})
 	if !isServing(ctx, bed, processes, recoveryTimeout) {
 		report.Violations = append(report.Violations,
 			fmt.Sprintf("an entry did not serve every type of request within %v after the last fault", recoveryTimeout))
 	}
+	report.checkRegistrations(bed, processes)
 	faultsEnd := time.Now()
 	time.Sleep(recoveryTimeout / 4)
 	stop()
 	group.Wait()
 	report.check(results.all(), bed, faultsEnd)
+	report.checkRegressions(results.all(), processes)
 	return report, nil
 }
 
+// inject injects faults for some time after start, and notes them.
+func (r *Report) inject(start time.Time, length time.Duration, with options, faults *injector, d *drills) {
+	var mu sync.Mutex
+	faults.record = func(kind, target string) {
+		mu.Lock()
+		defer mu.Unlock()
+		r.Faults = append(r.Faults, fmt.Sprintf("%.2f %s %s", time.Since(start).Seconds(), kind, target))
+	}
+	d.record = faults.record
+	var group sync.WaitGroup
+	if with.drills {
+		// In every second run there are few other faults, as an entry that starts anew forgets what went wrong.
+		if r.Seed%2 == 1 {
+			faults.pace = calmPace
+		}
+		group.Go(func() { d.run(start.Add(length)) })
+	}
+	faults.run(start.Add(length))
+	group.Wait()
+}
+
 // isServing reports whether each entry serves a request of each type: streaming, unsafe and safe. It polls, and gives
 // up once one type fails on one entry for longer than limit. Its request IDs begin above those of the load, so that the
 // two do not collide.
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -10,11 +10,13 @@
 
 // regressionSeeds are seeds that failed once, each with the fault that it guards against.
 var regressionSeeds = []struct {
-	seed  uint64
-	cause string
+	seed   uint64
+	drills bool
+	cause  string
 }{
 	{seed: 1, cause: "requests cancelled by the end of the run counted as not served"},
 	{seed: 3, cause: "entries trusted keys for less time than they took to ask the store; and the fault of seed 1"},
+	{seed: 101, drills: true, cause: "entries whose registrations were lost in a restore of the store were not registered again"},
 }
 
 // faultTime is how long faults are injected in each test run; the command's default is longer.
@@ -27,8 +29,8 @@
 		t.Fatal(err)
 	}
 	for _, s := range regressionSeeds {
-		t.Run(fmt.Sprint("seed ", s.seed), func(t *testing.T) {
-			r, err := soak.Run(t.Context(), s.seed, binary, folder, faultTime)
+		t.Run(fmt.Sprint("seed ", s.seed, ", drills ", s.drills), func(t *testing.T) {
+			r, err := soak.Run(t.Context(), s.seed, binary, folder, faultTime, soak.Drills(s.drills))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/lab/soak/world.go
+++ b/lab/soak/world.go
@@ -64,10 +64,39 @@
 	// the time at which its key was revoked.
 	account   int
 	revokedAt map[string]time.Time
+
+	// writing is held while operators and runners write, and writes holds their last write of each object.
+	writing sync.Mutex
+	writes  map[string]func()
+}
+
+// write writes an object as operators and runners do, so that it can be written again.
+func (t *testbed) write(kind, name string, do func()) {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	t.writes[kind+"/"+name] = do
+	do()
+}
+
+// rewrite writes all objects again. Keys that were revoked since a time count as revoked only now, as entries may not have read that
+// before it was lost.
+func (t *testbed) rewrite(since time.Time) {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	for _, do := range t.writes {
+		do()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for account, at := range t.revokedAt {
+		if at.After(since) {
+			t.revokedAt[account] = time.Now()
+		}
+	}
 }
 
 func newTestbed() (*testbed, error) {
-	t := &testbed{store: site.NewStore(), revokedAt: map[string]time.Time{}}
+	t := &testbed{store: site.NewStore(), revokedAt: map[string]time.Time{}, writes: map[string]func(){}}
 	server := httptest.NewServer(t.store)
 	t.storeAddress, t.closers = server.Listener.Addr().String(), append(t.closers, closeFunc(server))
 	t.configure()
@@ -128,11 +157,18 @@
 }
 
 func (t *testbed) register(p *proxiedRunner, state string) {
-	t.store.Put("servers", p.id, map[string]any{
-		"service": p.service, "addr": p.relay.Address(), "zone": "z", "slots": 6, "state": state,
+	t.write("servers", p.id, func() {
+		t.store.Put("servers", p.id, map[string]any{
+			"service": p.service, "addr": p.relay.Address(), "zone": "z", "slots": 6, "state": state,
+		})
 	})
 }
 
+// deregister removes a runner's registration.
+func (t *testbed) deregister(p *proxiedRunner) {
+	t.write("servers", p.id, func() { t.store.Remove("servers", p.id) })
+}
+
 // apiKey returns the API key of the account with the given number.
 func apiKey(account int) string { return fmt.Sprint("key-", account) }
 
@@ -150,7 +186,7 @@
 		}
 	}
 	engine := map[string]any{"slots": 6, "stride": 4, "step_ms": 5}
-	t.store.Put("config", "main", map[string]any{
+	spec := map[string]any{
 		"version": t.version,
 		"routes": []any{
 			route("/draft/", "streaming", "pool", true), route("/draft/once/", "streaming", "pool", false),
@@ -161,7 +197,8 @@
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": accountName(t.account), "apiKeys": []string{apiKey(t.account)}}},
-	})
+	}
+	t.write("config", "main", func() { t.store.Put("config", "main", spec) })
 }
 
 // rotateKey revokes the current key and gives the next account a new one.
@@ -183,12 +220,17 @@
 	return t.account
 }
 
-// freeAddress returns a TCP address on a loopback IP with a port that was free when it was probed.
-func freeAddress(ctx context.Context, ip string) (string, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", fault.New("find port", KindSetup, err)
+// freeAddresses returns TCP addresses on a loopback IP with different ports that were free when they were probed: each is held until all
+// are found.
+func freeAddresses(ctx context.Context, ip string, n int) ([]string, error) {
+	addresses := make([]string, 0, n)
+	for range n {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, fault.New("find port", KindSetup, err)
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return addresses, nil
 }
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -53,6 +53,7 @@
 	changed      chan struct{}
 	errorStatus  int
 	unresponsive bool
+	isAway       bool
 	calls        int
 }
 
@@ -113,6 +114,14 @@
 	return next
 }
 
+// SetAway makes the store cut all calls, those that wait included; false restores normal answers.
+func (s *Store) SetAway(yes bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isAway = yes
+	s.notify()
+}
+
 // Calls returns the number of calls received, including failed and unanswered ones.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -203,12 +212,14 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
-	errorStatus, unresponsive := s.errorStatus, s.unresponsive
+	errorStatus, unresponsive, isAway := s.errorStatus, s.unresponsive, s.isAway
 	s.writeEra(w)
 	s.mu.Unlock()
 	path, ok := strings.CutPrefix(r.URL.Path, "/kingcupstile/objects/")
 	kind, name, named := strings.Cut(path, "/")
 	switch {
+	case isAway:
+		panic(http.ErrAbortHandler)
 	case unresponsive:
 		// net/http detects that the caller disconnected only after the body was read.
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -301,11 +312,12 @@
 }
 
 // changesSince returns the changes to a kind after a revision, the current revision, whether the store lacks changes after the given
-// one or does not have it, and a channel that is closed at the next change, which is nil in another era than the given one.
+// one or does not have it, and a channel that is closed at the next change, which is nil in another era than the given one, and
+// while the store is away.
 func (s *Store) changesSince(kind string, rev, era uint64) ([]event, uint64, bool, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if era != s.era {
+	if era != s.era || s.isAway {
 		return nil, 0, false, nil
 	}
 	events := []event{}
