drill: Simulate a restored store before many entries

lab drill plays entries with their real decisions in simulated time before a store that comes back from a copy, and prints how soon the last of them knows new changes and is registered again, and what calls that takes.

--- a/lab/main.go
+++ b/lab/main.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/kingcupstile/kingcupstile/lab/capacity"
+	"github.com/kingcupstile/kingcupstile/lab/drill"
 	"github.com/kingcupstile/kingcupstile/lab/entries"
 	"github.com/kingcupstile/kingcupstile/lab/experts"
 	"github.com/kingcupstile/kingcupstile/lab/load"
@@ -23,6 +24,7 @@
 		Usage: "measure the project's own code on this machine",
 		Commands: []*cli.Command{
 			capacity.Command(os.Stdout),
+			drill.Command(os.Stdout),
 			experts.Command(os.Stdout),
 			entries.Command(os.Stdout),
 			load.Command(os.Stdout),
