overseer: Heed lost versions that were heard of before the copy was read

Cause: a version that the store lost was looked for only in heartbeats that come after the configuration was read in the new era. The last heartbeats of all entries are looked at again at that moment. The new case of TestConfigurationAfterARestore fails before.

Beside it: positions are logged as era:revision, and the log says of which kind of answer a new era was learned. Lookups ask which entries are present only if none is ready.

--- a/coordination/overseer/addresses.go
+++ b/coordination/overseer/addresses.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcupstile/kingcupstile/state/peer"
 )
 
 // MaxAddresses is how many addresses a lookup answer holds at most; callers use no more of one answer.
@@ -17,36 +19,45 @@
 // there are at least minAddresses, else in the region, else anywhere. If no entry is ready, it returns the addresses of
 // all present entries, or of all registered ones if no other is present, as this one may be cut off from them.
 func (s State) Addresses(centre, region string, now time.Duration) []string {
-	var inCentre, inRegion, all, present, registered []string
-	add := func(address, c, r string, ready, isPresent bool) {
-		registered = append(registered, address)
-		if isPresent {
-			present = append(present, address)
-		}
-		if !ready {
-			return
-		}
-		all = append(all, address)
-		if r == region {
-			inRegion = append(inRegion, address)
+	var inCentre, inRegion, all []string
+	add := func(p peer.Peer) {
+		all = append(all, p.Callers)
+		if p.Region == region {
+			inRegion = append(inRegion, p.Callers)
 		}
-		if c == centre {
-			inCentre = append(inCentre, address)
+		if p.Centre == centre {
+			inCentre = append(inCentre, p.Callers)
 		}
 	}
-	add(s.self.Callers, s.self.Centre, s.self.Region, s.IsReady(now), true)
+	if s.IsReady(now) {
+		add(s.self)
+	}
 	for _, e := range s.others() {
-		add(e.peer.Callers, e.peer.Centre, e.peer.Region, s.isUsable(e, now), s.isPresent(e, now))
+		if s.isUsable(e, now) {
+			add(e.peer)
+		}
 	}
 	for _, list := range [][]string{inCentre, inRegion, all} {
 		if len(list) >= minAddresses {
 			return s.selected(list)
 		}
 	}
-	switch {
-	case len(all) > 0:
+	if len(all) > 0 {
 		return s.selected(all)
-	case len(present) >= minAddresses:
+	}
+	return s.unreadyAddresses(now)
+}
+
+// unreadyAddresses returns the caller addresses of all present entries, or of all registered ones if no other is present.
+func (s State) unreadyAddresses(now time.Duration) []string {
+	present, registered := []string{s.self.Callers}, []string{s.self.Callers}
+	for _, e := range s.others() {
+		registered = append(registered, e.peer.Callers)
+		if s.isPresent(e, now) {
+			present = append(present, e.peer.Callers)
+		}
+	}
+	if len(present) >= minAddresses {
 		return s.selected(present)
 	}
 	return s.selected(registered)
--- a/coordination/overseer/config.go
+++ b/coordination/overseer/config.go
@@ -55,6 +55,7 @@
 // has none that is newer than the one in force, which thereby stays confirmed.
 func (s State) withConfig(t routing.Table, requestedAt time.Duration) (State, []Effect) {
 	s, effects := s.withConfigRead(t, requestedAt)
+	isFirst := t.Position().Era > s.history.config
 	s.history.config = max(s.history.config, t.Position().Era)
 	isOlder := s.hasTable && t.Version() < s.table.Version()
 	if isOlder {
@@ -72,6 +73,11 @@
 		effects = append(effects, Log{Message: "configuration in force", Args: []any{"version", t.Version(), "before", s.table.Version()}})
 		s.table, s.hasTable = t, true
 	}
+	if isFirst {
+		var missing []Effect
+		s, missing = s.withLostVersions()
+		effects = append(effects, missing...)
+	}
 	return s.withConfirmation(requestedAt), effects
 }
 
--- a/coordination/overseer/history.go
+++ b/coordination/overseer/history.go
@@ -74,9 +74,9 @@
 
 // positionOf returns the position in the store's history that an event shows and who told of it, and false if it shows none.
 func (s State) positionOf(event Event) (position.Position, source, bool) {
-	read := func(p position.Position, isCopy bool, at time.Duration) (position.Position, source, bool) {
-		if isCopy {
-			return p, source{name: "copy", at: at}, true
+	read := func(p position.Position, isUnconfirmed bool, at time.Duration) (position.Position, source, bool) {
+		if isUnconfirmed {
+			return p, source{name: "copy or cheap listing", at: at}, true
 		}
 		return p, source{name: "store", at: at}, true
 	}
@@ -238,6 +238,19 @@
 	}}
 }
 
+// withLostVersions takes in the same of all entries that were heard from before the configuration was read in another era.
+func (s State) withLostVersions() (State, []Effect) {
+	var effects []Effect
+	for _, e := range s.others() {
+		if e.heardAt > 0 {
+			var missing []Effect
+			s, missing = s.withLostVersion(e.heartbeat)
+			effects = append(effects, missing...)
+		}
+	}
+	return s, effects
+}
+
 // withJoined ends the wait of an entry that has started for what the others know, once it has read the store: all of it stands in a
 // heartbeat of one that is ready. Where none is, there is nothing to wait for once all were heard.
 func (s State) withJoined(b peer.Heartbeat) State {
--- a/coordination/overseer/restore_test.go
+++ b/coordination/overseer/restore_test.go
@@ -81,7 +81,8 @@
 		"and written again": {6, []overseer.Event{
 			older, heard(before, 7, at), overseer.ConfigReceived{Table: table(7, written), RequestedAt: at},
 		}, 7, 10 * ms},
-		"newer one that is on its way": {6, []overseer.Event{older, heard(after, 7, at)}, 6, 10 * ms},
+		"lost one that was heard of before": {6, []overseer.Event{heard(before, 7, second), older}, 6, 0},
+		"newer one that is on its way":      {6, []overseer.Event{older, heard(after, 7, at)}, 6, 10 * ms},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, _ := apply(readAt(before, test.held, nil), test.events...)
--- a/state/position/position.go
+++ b/state/position/position.go
@@ -35,6 +35,9 @@
 // String returns the position as it stands in logs: era and revision, joined by a colon.
 func (p Position) String() string { return fmt.Sprintf("%d:%d", p.Era, p.Revision) }
 
+// MarshalText returns the position as String does, for logs that are written as JSON.
+func (p Position) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
 // Max returns the later of two positions.
 func Max(p, q Position) Position {
 	if p.IsBefore(q) {
--- a/state/position/position_test.go
+++ b/state/position/position_test.go
@@ -21,6 +21,9 @@
 		if got := test.p.Compare(test.q); got != test.want || test.q.Compare(test.p) != -test.want {
 			t.Errorf("%v against %v: %d, want %d", test.p, test.q, got, test.want)
 		}
+		if text, err := test.p.MarshalText(); err != nil || string(text) != test.p.String() {
+			t.Errorf("%v is logged as %s, %v", test.p, text, err)
+		}
 		if got := test.p.IsBefore(test.q); got != (test.want < 0) {
 			t.Errorf("%v is before %v: %t", test.p, test.q, got)
 		}
