spec: Let the leader give a switch up and tell its own maps apart by version

The model gave each start of the leader one content for all its maps, so that a late order of a switch that was given up could do no harm in it. Each switch has a content of its own now, the leader may give one up while its map is being prepared, and it sees the versions of its own start only.

--- a/spec/ranks.pml
+++ b/spec/ranks.pml
@@ -14,7 +14,8 @@
  * carry no epoch), ABANDON (a step is released although the map can still be armed), EARLYOWN (rank 0 is armed at the
  * same time as the others), EARLYDISARM (ranks are disarmed before one has been seen that can no longer be armed),
  * FORWARD (a switch with no armed rank is completed with what is prepared), SAMESTEP (a step that the leader had held
- * before a restart is held again).
+ * before a restart is held again), REUSE (the version of a switch that the leader gave up while its map was being
+ * prepared is given to the next map). The leader tells maps of its own start apart by their versions only.
  */
 
 /* The group has two ranks, or three with THREE; ALL has one bit set for each rank but rank 0. */
@@ -56,7 +57,7 @@
 
 typedef Rank {
 	byte prepared; /* newest version fully loaded, 0 for none */
-	byte content;  /* which leader start made that map (me), or FILLER */
+	byte content;  /* the number of the switch that made that map, or FILLER */
 	byte armed;    /* version to switch to, 0 for none */
 	byte at;       /* step at which the rank switches to it */
 	byte target;   /* content of the armed version */
@@ -138,7 +139,12 @@
 #ifdef SAMEVERSION
 #define HAS(r, v) (rank[r].prepared == v)
 #else
-#define HAS(r, v) (rank[r].prepared == v && rank[r].content == me)
+#define HAS(r, v) (rank[r].prepared == v && rank[r].content > base && rank[r].content != FILLER)
+#endif
+#ifdef REUSE
+#define UNUSED(v) (v)
+#else
+#define UNUSED(v) (v > given -> v : given)
 #endif
 
 /* Brings the group out of the held step s; reads the state of rank 0 only when rank 0 is to be armed. */
@@ -205,6 +211,8 @@
 /* The leader makes one switch after the other, until TRIES are used up or too few steps are left. */
 proctype Leader() {
 	byte v, s, e, dead, seen, safe, x, me = 1, free = 0;
+	byte base = 0;  /* switches up to this one are not of this start */
+	byte given = 0; /* the highest version that this start gave to a map */
 again:
 	atomic { e = epoch; s = 0; v = 0; seen = 0 };
 	do
@@ -215,19 +223,24 @@
 	:: DIES -> goto dies
 	od;
 	/* Prepare a new map on every rank. */
-	atomic { if :: tries == TRIES -> goto over :: else -> tries++ fi; v = NEWEST; v = ABOVE(v) + 1 };
+	atomic {
+		if :: tries == TRIES -> goto over :: else -> tries++ fi;
+		v = NEWEST; v = ABOVE(v); v = UNUSED(v) + 1; given = v
+	};
 	do
 	:: e != epoch -> goto again
 	:: HAS(0, v) && HAS(1, v) AND3(HAS(2, v)) -> break
-	:: atomic { e == epoch && rank[0].prepared < v && rank[0].armed == 0 -> post(0, prepare, v, me, 0) }
-	:: atomic { e == epoch && rank[1].prepared < v && rank[1].armed == 0 -> post(1, prepare, v, me, 0) }
+	:: atomic { e == epoch && rank[0].prepared < v && rank[0].armed == 0 -> post(0, prepare, v, tries, 0) }
+	:: atomic { e == epoch && rank[1].prepared < v && rank[1].armed == 0 -> post(1, prepare, v, tries, 0) }
 #ifdef THREE
 #ifdef THREE
-	:: atomic { e == epoch && rank[2].prepared < v && rank[2].armed == 0 -> post(2, prepare, v, me, 0) }
+	:: atomic { e == epoch && rank[2].prepared < v && rank[2].armed == 0 -> post(2, prepare, v, tries, 0) }
 #endif
 #endif
 	:: rank[0].prepared >= v && !HAS(0, v) || rank[1].prepared >= v && !HAS(1, v) OR3(rank[2].prepared >= v && !HAS(2, v)) -> goto again
 	:: rank[0].armed != 0 || rank[1].armed != 0 OR3(rank[2].armed != 0) || HELD != 0 -> goto again
+	/* Give the switch up, as ranks do not answer. */
+	:: tries < TRIES -> goto again
 	:: DIES -> goto dies
 	od;
 	/* Have a later step held. */
@@ -281,7 +294,7 @@
 	goto again;
 dies:
 	/* With TRIES of 2 at most, a start that leaves a try over began one switch: its held step is at most two ahead. */
-	atomic { me = 2; v = 0; seen = 0; free = step + 3; goto again };
+	atomic { me = 2; base = tries; given = 0; v = 0; seen = 0; free = step + 3; goto again };
 over:
 	/* The leader keeps running to bring the group out of a step that a late hold order holds. */
 end:
--- a/spec/ranks_test.go
+++ b/spec/ranks_test.go
@@ -16,6 +16,7 @@
 	{search: search{guard: "ABANDON", fails: true}},
 	{search: search{guard: "SAMEVERSION", fails: true}, generate: []string{"-DLAST=3", "-DTRIES=2"}},
 	{search: search{guard: "SAMESTEP", fails: true}, generate: []string{"-DLAST=3", "-DTRIES=2"}},
+	{search: search{guard: "REUSE", fails: true}, generate: []string{"-DLAST=3", "-DTRIES=2", "-DCALM"}},
 	{search: search{guard: "STALEEPOCH", fails: true}, generate: []string{"-DLAST=3", "-DTRIES=2", "-DFLIGHT=2", "-DCALM"}},
 	{search: search{guard: "EARLYDISARM", flags: []string{"-DP_REVERSE"}, fails: true}, generate: []string{"-DTHREE"}},
 }
