conductor: Release a step that rank 0 can no longer be armed for

By reading, and shown by TestLateMapOfAnEarlierStartHoldsNobody: a leader that restarts may give a switch a lower version than one of its earlier start, as both are salted.

Cause: only the followers were looked at for a newer map, and a step for which all of them are armed was rolled forward whatever rank 0 reported.

A rank 0 that is seen unarmed with a newer map can never be armed for the version that waits, so that the switch is rolled back as if a follower had been seen so. What it has prepared only rises, so that an old report of it will do.

Specification: such a rank 0 allows to disarm, too.

--- a/coordination/conductor/advance.go
+++ b/coordination/conductor/advance.go
@@ -129,10 +129,10 @@
 	return s.sendOrder(holder(members), rank.VerbHold, now, nil)
 }
 
-// isSuperseded reports whether a follower can no longer be armed for the version of the switch under way, because it
-// has prepared a newer one.
+// isSuperseded reports whether a rank can no longer be armed for the version of the switch under way, because it has prepared a newer one:
+// for another process, or by a late order of an earlier start of this one.
 func (s State) isSuperseded(members []string) bool {
-	for _, m := range followers(members) {
+	for _, m := range members {
 		if r := s.view(m).report; r.ArmedVersion == 0 && r.PreparedVersion > s.version {
 			return true
 		}
@@ -141,7 +141,7 @@
 }
 
 // arm arms the followers for the held step, then rank 0, and releases the step once all are seen armed. Because rank 0
-// comes last, a process that sees a follower that can no longer be armed knows that rank 0 is not armed.
+// comes last, a process that sees a rank that can no longer be armed knows that rank 0 is not armed.
 func (s State) arm(members []string, now time.Duration) (State, []Effect) {
 	if s.view(members[0]).report.Step >= s.heldStep {
 		return s.finish(members, now)
--- a/coordination/conductor/conductor_test.go
+++ b/coordination/conductor/conductor_test.go
@@ -689,3 +689,36 @@
 		t.Errorf("%.0f orders a second to a rank that refuses them", perSecond)
 	}
 }
+
+// TestLateMapOfAnEarlierStartHoldsNobody has each rank in turn carry out an order to prepare a map that the leader gave before it
+// restarted, with a higher version than that of the switch under way, just as the others are armed. The rank can no longer be armed for
+// that switch, so that the held step must be released without it before callers time out.
+func TestLateMapOfAnEarlierStartHoldsNobody(t *testing.T) {
+	const callerTimeout = 2 * time.Second
+	for late := range ranks {
+		t.Run(fmt.Sprint("rank ", late), func(t *testing.T) {
+			for seed := range uint64(20) {
+				sim := newSimulation(t, seed)
+				isDue := false
+				sim.onOrder = func(r int, o rank.Order) {
+					if r != 0 || o.Verb != rank.VerbArm || isDue || sim.now < 5*time.Second {
+						return
+					}
+					isDue = true
+					report := sim.group.Report(late)
+					_ = sim.group.Apply(late, rank.Order{
+						Verb: rank.VerbPrepare, Epoch: report.Epoch, ExpectedOrderCount: report.OrderCount, Version: o.Version + 500,
+						Layout: leveler.InitialLayout(sets, experts, ranks),
+					})
+				}
+				sim.run(15 * time.Second)
+				if sim.err != nil || !isDue {
+					t.Fatalf("seed %d: %v, late %t", seed, sim.err, isDue)
+				}
+				if gap := max(sim.longestGap, sim.now-sim.lastPass); gap > callerTimeout/2 {
+					t.Fatalf("seed %d: no pass for %v: %+v", seed, gap, sim.reports())
+				}
+			}
+		})
+	}
+}
--- a/coordination/conductor/settle.go
+++ b/coordination/conductor/settle.go
@@ -20,8 +20,8 @@
 }
 
 // recoverHeldStep ends a held step: it rolls the switch forward if a follower is armed and the others can still be,
-// and back otherwise. It does not depend on rank 0, whose VM may be unreachable, unless rank 0 is the only one left to
-// arm.
+// and back otherwise, or if rank 0 is seen that can no longer be armed. It does not depend on rank 0, whose VM may be unreachable, unless
+// rank 0 is the only one left to arm.
 func (s State) recoverHeldStep(list []string, now time.Duration) (State, []Effect) {
 	if held := s.holderReport(list).HeldStep; held != s.heldStep || held == 0 {
 		s.layout, s.rollingBack = nil, false
@@ -30,6 +30,8 @@
 	}
 	version, armed, canArm := s.armingState(followers(list))
 	switch {
+	case s.isUnarmable(list[0]):
+		return s.rollBack(list, now)
 	case armed > 0 && armed == len(followers(list)):
 		return s.rollForward(list, version, now)
 	case armed > 0 && canArm:
@@ -78,24 +80,26 @@
 	if !known {
 		return s, effects
 	}
-	// A rank that is armed for a later step prepared its map after the version that waits for this step.
-	isUnarmable := func(m string) bool {
-		r := s.view(m).report
-		return r.ArmedVersion == 0 && r.PreparedVersion > s.maxPending || r.ArmedVersion != 0 && r.ArmedStep > s.heldStep
-	}
-	if !slices.ContainsFunc(rest, isUnarmable) {
+	if !s.isUnarmable(list[0]) && !slices.ContainsFunc(rest, s.isUnarmable) {
 		return s.prepareNewer(rest, now, effects)
 	}
 	s, more, _ := s.sendOrders(rest, rank.VerbDisarm, now, func(r rank.Report) bool {
 		return r.ArmedVersion != 0 && r.ArmedStep == s.heldStep
 	})
 	s, effects = s.prepareNewer(rest, now, append(effects, more...))
-	if !slices.ContainsFunc(rest, func(m string) bool { return !isUnarmable(m) }) {
+	if !slices.ContainsFunc(rest, func(m string) bool { return !s.isUnarmable(m) }) {
 		return s.sendOrder(holder(list), rank.VerbRelease, now, effects)
 	}
 	return s, effects
 }
 
+// isUnarmable reports whether a rank can no longer be armed for the version that waits for the held step, as it has prepared a newer one. A
+// rank that is armed for a later step prepared its map after that version.
+func (s State) isUnarmable(name string) bool {
+	r := s.view(name).report
+	return r.ArmedVersion == 0 && r.PreparedVersion > s.maxPending || r.ArmedVersion != 0 && r.ArmedStep > s.heldStep
+}
+
 // prepareNewer has those ranks prepare the target map that are not armed and have no version above maxPending.
 func (s State) prepareNewer(list []string, now time.Duration, effects []Effect) (State, []Effect) {
 	s, more, _ := s.sendOrders(list, rank.VerbPrepare, now, func(r rank.Report) bool {
--- a/spec/ranks.pml
+++ b/spec/ranks.pml
@@ -5,8 +5,9 @@
  * An order stays in flight once it is sent: it may arrive late, twice, after newer orders, or never; engines do not
  * number orders. The leader may crash at any point and restart without memory. A deputy may at any time conclude that
  * the leader is gone and bring the group out of the held step without reading the state of rank 0, whose VM may be
- * unreachable: it rolls forward if another rank is armed, and otherwise rolls back by preparing a newer version on
- * every rank but rank 0, after which the pending map can no longer be armed there. The states of the ranks are read one
+ * unreachable: it rolls forward if another rank is armed, and otherwise, or if rank 0 is seen that can no longer be
+ * armed, rolls back by preparing a newer version on every rank but rank 0, after which the pending map can no longer be
+ * armed there. The states of the ranks are read one
  * after the other, not as a snapshot. The group ends its epoch at most once, which clears the state of all ranks.
  *
  * Variants that each leave out one guard: NOHOLD (ranks are armed without a held step), EARLYGO (the step is released
@@ -146,6 +147,12 @@
 #else
 #define UNUSED(v) (v > given -> v : given)
 #endif
+/* With SALT versions of two starts differ, and one that an earlier start gave may be the higher one. */
+#ifdef SALT
+#define NEXT(v) ((v / 2 + 1) * 2 + (me == 1 -> 1 : 0))
+#else
+#define NEXT(v) (v + 1)
+#endif
 
 /* Brings the group out of the held step s; reads the state of rank 0 only when rank 0 is to be armed. */
 inline settle() {
@@ -175,13 +182,15 @@
 		x = rank[2].prepared; post(2, arm, x, 0, s); x = 0 }
 #endif
 #endif
-	/* Roll back if a rank is not armed. */
+	/* Roll back if a rank is not armed, or rank 0 can no longer be armed. */
 	:: atomic { e == epoch && HELD == s && OLDER(1) -> x = NEWEST; x++; post(1, prepare, x, FILLER, 0); x = 0 }
 #ifdef THREE
 #ifdef THREE
 	:: atomic { e == epoch && HELD == s && OLDER(2) -> x = NEWEST; x++; post(2, prepare, x, FILLER, 0); x = 0 }
 #endif
 #endif
+	/* Rank 0 may be seen that can no longer be armed, as a late order of an earlier start has it prepare a newer map. */
+	:: atomic { e == epoch && HELD == s && NEWER(0) -> safe = safe | 1 }
 	:: atomic { e == epoch && HELD == s && NEWER(1) -> safe = safe | 2 }
 #ifdef THREE
 #ifdef THREE
@@ -202,7 +211,7 @@
 #ifdef ABANDON
 	:: atomic { e == epoch && HELD == s && rank[1].armed == 0 AND3(rank[2].armed == 0) -> post(HOLDER, go, 0, 0, s) }
 #else
-	:: atomic { e == epoch && HELD == s && safe == ALL -> post(HOLDER, go, 0, 0, s) }
+	:: atomic { e == epoch && HELD == s && (safe & ALL) == ALL -> post(HOLDER, go, 0, 0, s) }
 #endif
 	od;
 	atomic { dead = 0; seen = 0; safe = 0; v = 0; s = 0 }
@@ -225,7 +234,7 @@
 	/* Prepare a new map on every rank. */
 	atomic {
 		if :: tries == TRIES -> goto over :: else -> tries++ fi;
-		v = NEWEST; v = ABOVE(v); v = UNUSED(v) + 1; given = v
+		v = NEWEST; v = ABOVE(v); v = UNUSED(v); v = NEXT(v); given = v
 	};
 	do
 	:: e != epoch -> goto again
