--- a/coordination/overseer/history.go
+++ b/coordination/overseer/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -306,9 +307,9 @@
 		return b
 	}
 	b.RunnersAt.Era, b.ConfigEra = s.history.era, s.history.era
-	for i, e := range b.Evacuations {
-		e.Position.Era = s.history.era
-		b.Evacuations[i] = e
+	b.Evacuations = slices.Clone(b.Evacuations)
+	for i := range b.Evacuations {
+		b.Evacuations[i].Position.Era = s.history.era
 	}
 	return b
 }
--- a/coordination/overseer/restore_test.go
+++ b/coordination/overseer/restore_test.go
@@ -362,6 +362,23 @@
 	}
 }
 
+// TestHeartbeatOfAnEarlierRelease guards against a process of an earlier release, which tells no eras, and whose news are taken for those
+// of an earlier history: its newer version would have keys refused, and its drains would be passed over.
+func TestHeartbeatOfAnEarlierRelease(t *testing.T) {
+	s, _ := apply(readAt(before, 7, nil), overseer.ConfigReceived{Table: table(7, after), RequestedAt: 2 * second},
+		overseer.EvacuationsListed{Position: after, RequestedAt: 2 * second, At: 2 * second})
+	e := heard(position.New(0, 140), 8, 2*second)
+	drains := []evacuation.Evacuation{{Centre: "a", Position: position.New(0, 140)}}
+	e.Heartbeat.HasEra, e.Heartbeat.ConfigEra, e.Heartbeat.Evacuations = false, 0, drains
+	s, _ = apply(s, e)
+	if !s.IsFresh(2*second) || !s.IsEvacuated("a") {
+		t.Errorf("fresh %t, drained %t", s.IsFresh(2*second), s.IsEvacuated("a"))
+	}
+	if drains[0].Position != position.New(0, 140) {
+		t.Errorf("the heartbeat was changed: %v", drains)
+	}
+}
+
 // TestNewEraIsReadEverywhere guards against kinds of objects that go on to be read in an earlier era, as their watches wait, after one
 // watch, or another entry, has told of a new one.
 func TestNewEraIsReadEverywhere(t *testing.T) {
