storer: Carry the era of the store in versions

The project's own front has the same fault as the users' platform: after a restore of the store a watch goes on after a version of another history and misses what is written below it, for objects and for the list of VMs, and a write by a version that was given out twice takes place.

Versions hold the era of the answer in their upper bits. A watch by a version of another era asks for the current state; a write by one of an earlier era is refused as a conflict, and is uncertain where its own answer is the first to tell of the restore. The stand-in takes a copy, comes back from it, ends its watches and tells its era. The shape test counts the users' header among the names that only the adapter may use.

--- a/shape_test.go
+++ b/shape_test.go
@@ -137,7 +137,7 @@
 var platformNames = []string{
 	"kingcupstile/objects", "kingcupstile/lookup", "kingcupstile/readyz", "kingcupstile/report", "kingcupstile/picked", "kingcupstile/order",
 	"X-Server-Seal", "X-Expect-Instance", "X-Not-Executed", "X-Deadline-Ms", "X-Token-Count", "X-Prefix-Hash", "At-Server", "X-Tenant",
-	"KINGCUPSTILE_NODE_FILE", "coldLeftMs", "X-Cold-Ms", "coldPerS", "gapTargetMs", "evacuateMs",
+	"KINGCUPSTILE_NODE_FILE", "coldLeftMs", "X-Cold-Ms", "coldPerS", "gapTargetMs", "evacuateMs", "Store-Era",
 }
 
 func TestOnlyPlatformUsesItsWireNames(t *testing.T) {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -20,10 +20,23 @@
 // MaxWait is the longest time that a long poll is held open, whatever the request asks for.
 const MaxWait = 30 * time.Second
 
+// headerEra is the header in which answers say the store's era, once it was restored.
+const headerEra = "Era"
+
 // Handler serves a store over HTTP; a GET of the VM list, or of an object with the query
 // parameter after, is a long poll of up to wait milliseconds.
 func Handler(s *Store) http.Handler {
 	e := echo.New()
+	e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			c.Response().Before(func() {
+				if era := s.Era(); era > 0 {
+					c.Response().Header().Set(headerEra, strconv.FormatUint(era, 10))
+				}
+			})
+			return next(c)
+		}
+	})
 	e.GET("/v1/objects/:kind/:name", func(c echo.Context) error { return getObject(c, s) })
 	e.PUT("/v1/objects/:kind/:name", func(c echo.Context) error { return putObject(c, s) })
 	e.GET("/v1/vms", func(c echo.Context) error { return getVMs(c, s) })
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 
@@ -27,11 +28,13 @@
 
 // Store holds objects and the VM list in memory; it implements kingcupstile.Store and kingcupstile.VMLister.
 type Store struct {
-	mu          sync.Mutex
-	objects     map[string]object.Object
-	vms         roster.Roster
-	changed     chan struct{}
-	counts      map[Call]int
+	mu      sync.Mutex
+	objects map[string]object.Object
+	vms     roster.Roster
+	changed chan struct{}
+	counts  map[Call]int
+	// era counts the restores.
+	era         uint64
 	fault       FaultFunc
 	openWatches atomic.Int64
 }
@@ -56,6 +59,35 @@
 	return s
 }
 
+// Copy is all that a store held at one time.
+type Copy struct {
+	objects map[string]object.Object
+	vms     roster.Roster
+}
+
+// Copy returns all that the store holds.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{objects: maps.Clone(s.objects), vms: s.vms}
+}
+
+// Restore replaces all that the store holds by a copy, begins the next era, and ends the watches that wait.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects, s.vms = maps.Clone(c.objects), c.vms
+	s.era++
+	s.notifyWatchers()
+}
+
+// Era returns how often the store was restored.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Counts returns the number of calls of each kind, those with an injected fault included.
 func (s *Store) Counts() map[Call]int {
 	s.mu.Lock()
@@ -121,10 +153,13 @@
 	if before != nil {
 		return object.Object{}, before
 	}
-	for {
+	for era := s.Era(); ; {
 		s.mu.Lock()
-		o, changed := s.objects[key(kind, name)], s.changed
+		o, changed, now := s.objects[key(kind, name)], s.changed, s.era
 		s.mu.Unlock()
+		if now != era {
+			return object.Object{}, fault.Newf("watch", kingcupstile.KindUnavailable, "the store was restored")
+		}
 		if o.Version() > after {
 			return o, lost
 		}
@@ -140,10 +175,13 @@
 	if before != nil {
 		return roster.Roster{}, before
 	}
-	for {
+	for era := s.Era(); ; {
 		s.mu.Lock()
-		r, changed := s.vms, s.changed
+		r, changed, now := s.vms, s.changed, s.era
 		s.mu.Unlock()
+		if now != era {
+			return roster.Roster{}, fault.Newf("list VMs", kingcupstile.KindUnavailable, "the store was restored")
+		}
 		if r.Version() > after {
 			return r, lost
 		}
--- a/transport/storer/storer.go
+++ b/transport/storer/storer.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +37,8 @@
 	client    *http.Client
 	timeout   time.Duration
 	watchWait time.Duration
+	// era is the latest era that the platform has told.
+	era atomic.Uint64
 }
 
 // Option sets a field of a Storer under construction.
@@ -66,9 +69,14 @@
 	return s.read(ctx, request{op: "get", timeout: s.timeout}, kind, name)
 }
 
-// Watch returns the object once its version exceeds after, or an Error of KindMissing if that does not happen in time.
+// Watch returns the object once its version exceeds after, or an Error of KindMissing if that does not happen in time. The first version
+// after a restore of the platform's store exceeds all of before.
 func (s *Storer) Watch(ctx context.Context, kind object.Kind, name string, after uint64) (object.Object, error) {
-	return s.read(ctx, request{op: "watch", query: s.watchQuery(after), timeout: s.watchWait + s.timeout}, kind, name)
+	o, err := s.read(ctx, request{op: "watch", query: s.watchQuery(s.after(after)), timeout: s.watchWait + s.timeout}, kind, name)
+	if err == nil && o.Version() <= after {
+		return object.Object{}, fault.Newf("watch", kingcupstile.KindMissing, "%s is at version %d, of before a restore", name, o.Version())
+	}
+	return o, err
 }
 
 // watchQuery returns the parameters of a long poll for a version above after; the wait is in milliseconds.
@@ -85,16 +93,20 @@
 	if err != nil {
 		return object.Object{}, err
 	}
-	return object.New(kind, name, object.Version(etagVersion(header)), object.Value(body)), nil
+	return object.New(kind, name, object.Version(s.version(header)), object.Value(body)), nil
 }
 
 // Put writes o if the stored version equals its own, 0 for none, and returns it with its new version. It returns an
-// Error of KindConflict if the versions differ, and of KindUncertain if the write may have been carried out.
+// Error of KindConflict if the versions differ, or if the store is known to have been restored since o was read, and of KindUncertain if
+// the write may have been carried out, or was carried out and the answer is the first one that tells of a restore.
 func (s *Storer) Put(ctx context.Context, o object.Object) (object.Object, error) {
-	condition := http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(o.Version(), 10))}}
+	condition := http.Header{"If-Match": {strconv.Quote(strconv.FormatUint(plain(o.Version()), 10))}}
 	if o.Version() == 0 {
 		condition = http.Header{"If-None-Match": {"*"}}
 	}
+	if o.Version() != 0 && eraOf(o.Version()) < s.era.Load() {
+		return object.Object{}, fault.Newf("put", kingcupstile.KindConflict, "%s was read before the store was restored", o.Name())
+	}
 	header, _, err := s.call(ctx, request{
 		op: "put", method: http.MethodPut, path: objectPath(o.Kind(), o.Name()),
 		header: condition, body: o.Value(), timeout: s.timeout,
@@ -102,18 +114,30 @@
 	if err != nil {
 		return object.Object{}, err
 	}
-	return o.WithVersion(etagVersion(header)), nil
+	next := o.WithVersion(s.version(header))
+	if o.Version() != 0 && eraOf(next.Version()) != eraOf(o.Version()) {
+		return object.Object{}, fault.Newf("put", kingcupstile.KindUncertain, "the store was restored since %s was read", o.Name())
+	}
+	return next, nil
 }
 
 // VMs returns the VM list once its version exceeds after, or an Error of KindMissing if that does not happen in time.
 func (s *Storer) VMs(ctx context.Context, after uint64) (roster.Roster, error) {
-	_, body, err := s.call(ctx, request{
-		op: "list VMs", method: http.MethodGet, path: "/v1/vms", query: s.watchQuery(after), timeout: s.watchWait + s.timeout,
+	header, body, err := s.call(ctx, request{
+		op: "list VMs", method: http.MethodGet, path: "/v1/vms", query: s.watchQuery(s.after(after)), timeout: s.watchWait + s.timeout,
 	})
 	if err != nil {
 		return roster.Roster{}, err
 	}
-	return translator.DecodeRoster(body)
+	r, err := translator.DecodeRoster(body)
+	if err != nil {
+		return roster.Roster{}, err
+	}
+	r = roster.New(withEra(s.readEra(header), r.Version()), r.VMs()...)
+	if r.Version() <= after {
+		return roster.Roster{}, fault.Newf("list VMs", kingcupstile.KindMissing, "the list is at version %d, of before a restore", r.Version())
+	}
+	return r, nil
 }
 
 // PutVM adds or replaces a VM in the list of a stand-in for the platform; the real platform maintains its list itself.
@@ -132,10 +156,13 @@
 	return "/v1/objects/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
 }
 
-// etagVersion returns the version in the Etag header, 0 if it holds none.
-func etagVersion(h http.Header) uint64 {
-	v, _ := strconv.ParseUint(strings.Trim(h.Get("Etag"), `"`), 10, 64)
-	return v
+// version returns the version in the Etag header with the era of the answer, 0 if it holds none.
+func (s *Storer) version(h http.Header) uint64 {
+	v, err := strconv.ParseUint(strings.Trim(h.Get("Etag"), `"`), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return withEra(s.readEra(h), v)
 }
 
 // request is one call to the platform.
@@ -179,6 +206,7 @@
 	if err != nil {
 		return nil, nil, fault.New(r.op, unansweredKind(r.method, err), err)
 	}
+	s.readEra(response.Header)
 	if kind := statusKind(r.method, response.StatusCode); kind != "" {
 		return nil, nil, fault.Newf(r.op, kind, "%s: platform answered %s", r.path, response.Status)
 	}
