overseer: Keep entries that were not heard from yet through a restore

Cause: of the entries that a restored store lacks, only those that were heard from stayed known. Among 300, an entry hears from most others every 12 s, so that half of them were forgotten, the tree of links differed from one entry to the next, and many read the store in place of a copy. One that registered in the lost seconds and was not heard from yet was left out of lookups, too; that is the new case of TestEntriesAfterARestore, which fails before.

Entries that are present, heard from or listed so recently that they may not have been heard from, stay known.

--- a/coordination/overseer/history.go
+++ b/coordination/overseer/history.go
@@ -175,7 +175,7 @@
 }
 
 // withPeersRestored returns the entries that stay known although a restored store lacks them, or holds an earlier start of them: those that
-// this one hears from. What the copy holds beyond those known may have been removed since.
+// are present. What the copy holds beyond those known may have been removed since.
 func (s State) withPeersRestored(peers map[string]*entry, at time.Duration) map[string]*entry {
 	for name, e := range peers {
 		if _, found := s.find(name); !found {
@@ -183,7 +183,7 @@
 		}
 	}
 	for name, e := range s.others() {
-		if listed, found := peers[name]; s.isLive(e, at) && (!found || listed.peer.Start < e.peer.Start) {
+		if listed, found := peers[name]; s.isPresent(e, at) && (!found || listed.peer.Start < e.peer.Start) {
 			e.keptUntil = at + restoreTime
 			peers[name] = &e
 		}
--- a/coordination/overseer/restore_test.go
+++ b/coordination/overseer/restore_test.go
@@ -298,9 +298,15 @@
 		now    time.Duration
 		want   []string
 	}{
-		"lost":                       {[]overseer.Event{listed(1500 * ms)}, 1600 * ms, []string{"c1", "e2:1"}},
-		"lost, listed twice":         {[]overseer.Event{listed(1500 * ms), listed(1550 * ms)}, 1600 * ms, []string{"c1", "e2:1"}},
-		"an earlier start in it":     {[]overseer.Event{listed(1500*ms, started)}, 1600 * ms, []string{"c1", "e2:1"}},
+		"lost":                   {[]overseer.Event{listed(1500 * ms)}, 1600 * ms, []string{"c1", "e2:1"}},
+		"lost, listed twice":     {[]overseer.Event{listed(1500 * ms), listed(1550 * ms)}, 1600 * ms, []string{"c1", "e2:1"}},
+		"an earlier start in it": {[]overseer.Event{listed(1500*ms, started)}, 1600 * ms, []string{"c1", "e2:1"}},
+		"lost before it was heard from": {[]overseer.Event{
+			overseer.PeersChanged{
+				Changes:  []listing.Change[peer.Peer]{{Name: "e3", Valid: true, Item: other("e3", "z")}},
+				Position: position.New(1, 160), At: 1400 * ms,
+			}, listed(1500 * ms),
+		}, 1600 * ms, []string{"e2:1", "e3:1"}},
 		"lost, and silent":           {[]overseer.Event{listed(1500 * ms)}, 3 * second, []string{"c1"}},
 		"removed, back in the copy":  {[]overseer.Event{listed(1500*ms, other("e2", "z"), other("e3", "z"))}, 1600 * ms, []string{"c1", "e2:1"}},
 		"lost, and removed for good": {[]overseer.Event{listed(1500 * ms), listed(40 * second)}, 40 * second, []string{"c1"}},
