overseer: Copy maps in one place

No change of behaviour: the package's tests pass under the race detector, and those on restores of transport/gateway, the shape tests and lab/drill pass.

--- a/coordination/overseer/evacuations.go
+++ b/coordination/overseer/evacuations.go
@@ -1,7 +1,6 @@
 package overseer
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -192,8 +191,7 @@
 // withoutDoubt forgets what a restored store's copy says of a data centre.
 func (s State) withoutDoubt(centre string) State {
 	if _, found := s.evacuations.doubts[centre]; found {
-		s.evacuations.doubts = maps.Clone(s.evacuations.doubts)
-		delete(s.evacuations.doubts, centre)
+		s.evacuations.doubts = withoutKey(s.evacuations.doubts, centre)
 	}
 	return s
 }
--- a/coordination/overseer/history.go
+++ b/coordination/overseer/history.go
@@ -174,6 +174,13 @@
 	return m
 }
 
+// withoutKey returns a copy of a map without a key.
+func withoutKey[K comparable, V any](m map[K]V, key K) map[K]V {
+	m = maps.Clone(m)
+	delete(m, key)
+	return m
+}
+
 // withPeersRestored returns the entries that stay known although a restored store lacks them, or holds an earlier start of them: those that
 // are present. What the copy holds beyond those known may have been removed since.
 func (s State) withPeersRestored(peers map[string]*entry, at time.Duration) map[string]*entry {
@@ -294,8 +301,7 @@
 func (s State) withoutExpiredRemovals(at time.Duration) State {
 	for id, r := range s.history.removed {
 		if at-r.at >= removalRetention {
-			s.history.removed = maps.Clone(s.history.removed)
-			delete(s.history.removed, id)
+			s.history.removed = withoutKey(s.history.removed, id)
 		}
 	}
 	return s
--- a/coordination/overseer/leavers.go
+++ b/coordination/overseer/leavers.go
@@ -59,11 +59,7 @@
 }
 
 func (s State) withLeaverUntil(r runner.Runner, l leaver) State {
-	s.leavers = maps.Clone(s.leavers)
-	if s.leavers == nil {
-		s.leavers = map[string]leaver{}
-	}
-	s.leavers[r.ID()] = l
+	s.leavers = withValue(s.leavers, r.ID(), l)
 	return s.withRunnerSet(s.runners.WithRunners(r.WithState(runner.StateLeaving)))
 }
 
@@ -84,8 +80,7 @@
 // withoutRestoredLeaver forgets that a runner is ready only by a restored store's copy, as its registration was written again.
 func (s State) withoutRestoredLeaver(id string) State {
 	if s.leavers[id].isRestored {
-		s.leavers = maps.Clone(s.leavers)
-		delete(s.leavers, id)
+		s.leavers = withoutKey(s.leavers, id)
 	}
 	return s
 }
@@ -105,11 +100,7 @@
 	if !r.IsReady() {
 		return s
 	}
-	s.drained = maps.Clone(s.drained)
-	if s.drained == nil {
-		s.drained = map[uint32]time.Duration{}
-	}
-	s.drained[runner.Key(r.ID())] = at
+	s.drained = withValue(s.drained, runner.Key(r.ID()), at)
 	return s
 }
 
@@ -134,16 +125,14 @@
 		if found && at < l.until {
 			continue
 		}
-		s.leavers = maps.Clone(s.leavers)
-		delete(s.leavers, id)
+		s.leavers = withoutKey(s.leavers, id)
 		if found {
 			s = s.withRunnerSet(s.runners.WithRunners(r.WithState(runner.StateReady)))
 		}
 	}
 	for key, since := range s.drained {
 		if at-since >= reportTime {
-			s.drained = maps.Clone(s.drained)
-			delete(s.drained, key)
+			s.drained = withoutKey(s.drained, key)
 		}
 	}
 	return s
--- a/coordination/overseer/peers.go
+++ b/coordination/overseer/peers.go
@@ -88,7 +88,6 @@
 
 // withEntry returns the state with another entry replaced.
 func (s State) withEntry(e entry) State {
-	s.peers = maps.Clone(s.peers)
-	s.peers[e.peer.Name] = &e
+	s.peers = withValue(s.peers, e.peer.Name, &e)
 	return s
 }
--- a/coordination/overseer/step.go
+++ b/coordination/overseer/step.go
@@ -301,8 +301,7 @@
 		if at < kept.until {
 			continue
 		}
-		s.retained = maps.Clone(s.retained)
-		delete(s.retained, id)
+		s.retained = withoutKey(s.retained, id)
 		s = s.withRunnerSet(s.runners.Without(id))
 		effects = append(effects, Log{Message: "runner removed", Args: []any{"runner", id, "service", kept.runner.Service()}})
 	}
@@ -312,8 +311,7 @@
 	}
 	for name, e := range s.others() {
 		if at-max(e.heardAt, e.listedAt) > max(deregisterAfter, s.heartbeatTimeout()) && s.isCleanupLeader(at) {
-			s.peers = maps.Clone(s.peers)
-			delete(s.peers, name)
+			s.peers = withoutKey(s.peers, name)
 			effects = append(effects, Deregister{Name: name}, Log{Message: "removing registration of silent entry", Args: []any{"entry", name}})
 		}
 	}
