--- a/standin/garbler/garbler.go
+++ b/standin/garbler/garbler.go
@@ -8,7 +8,20 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
+	"time"
+)
+
+// Fields is the mark in a text that stands for the headers of the answer, each with its line break.
+const Fields = "{fields}"
+
+const (
+	// readBuffer is how much of a request the kernel takes for a garbler that resets, in bytes.
+	readBuffer = 4 << 10
+	// resetDelay is how long a garbler that resets waits with it; the client has then filled the buffers.
+	resetDelay = 100 * time.Millisecond
 )
 
 // Lines are status lines that are no final answer of HTTP/1, although net/http parses them.
@@ -18,10 +31,16 @@
 	}
 }
 
-// Garbler answers each request with the same status line and a whole body, and closes the connection.
+// body is that of whole answers: the store's listing of nothing, which is valid for every reader.
+const body = `{"asOf":7,"entries":[]}`
+
+// Garbler answers each request in the same way, and closes the connection.
 type Garbler struct {
 	listener net.Listener
 	line     string
+	text     string
+	early    bool
+	resets   bool
 	header   http.Header
 	runs     atomic.Int64
 }
@@ -32,7 +51,17 @@
 // Header adds headers to the answers.
 func Header(h http.Header) Option { return func(g *Garbler) { g.header = h } }
 
-// New returns a garbler that listens on loopback.
+// Text replaces the answers by a text, in which the headers take the place of the mark Fields.
+func Text(text string) Option { return func(g *Garbler) { g.text = text } }
+
+// Early has the garbler answer as soon as it has the head of a request, and read the rest after that.
+func Early() Option { return func(g *Garbler) { g.early = true } }
+
+// Reset has the garbler answer as soon as it has the head of a request, and reset the connection once the client waits for room to write
+// the rest. A body that fits into the buffers of the connection, or none, is written in full before that.
+func Reset() Option { return func(g *Garbler) { g.early, g.resets = true, true } }
+
+// New returns a garbler that listens on loopback and answers with a status line and a whole body.
 func New(line string, options ...Option) (*Garbler, error) {
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -65,19 +94,34 @@
 	}
 }
 
-// answer answers one request, with its identifier and a whole body.
+// answer answers one request, with its identifier.
 func (g *Garbler) answer(connection net.Conn) {
 	defer func() { _ = connection.Close() }()
+	if tcp, ok := connection.(*net.TCPConn); ok && g.resets {
+		// Little of the request fits into the buffers, and closing sends a reset.
+		_ = tcp.SetReadBuffer(readBuffer)
+		_ = tcp.SetLinger(0)
+	}
 	r, err := http.ReadRequest(bufio.NewReader(connection))
 	if err != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body)
+	if !g.early {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 	g.runs.Add(1)
-	const body = `{"asOf":7,"entries":[]}`
-	var answer bytes.Buffer
-	_, _ = fmt.Fprintf(&answer, "%s\r\nX-Request-Id: %s\r\nContent-Type: application/json\r\n", g.line, r.Header.Get("X-Request-Id"))
-	_ = g.header.Write(&answer)
-	_, _ = fmt.Fprintf(&answer, "Content-Length: %d\r\n\r\n%s", len(body), body)
-	_, _ = connection.Write(answer.Bytes())
+	var fields bytes.Buffer
+	_, _ = fmt.Fprintf(&fields, "X-Request-Id: %s\r\n", r.Header.Get("X-Request-Id"))
+	_ = g.header.Write(&fields)
+	text := g.text
+	if text == "" && g.line != "" {
+		text = g.line + "\r\nContent-Type: application/json\r\n" + Fields + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	}
+	_, _ = io.WriteString(connection, strings.ReplaceAll(text, Fields, fields.String()))
+	switch {
+	case g.resets:
+		time.Sleep(resetDelay)
+	case g.early:
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 }
--- a/transport/conduit/conduit.go
+++ b/transport/conduit/conduit.go
@@ -18,6 +18,7 @@
 
 	"github.com/kingcupstile/kingcupstile/coordination/budgeter"
 	"github.com/kingcupstile/kingcupstile/protocol/examiner"
+	"github.com/kingcupstile/kingcupstile/protocol/verifier"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 )
 
@@ -70,10 +71,11 @@
 // KindUnsent, KindCut or KindWithheld. The connection is closed when ctx ends before Close is called.
 func Send(ctx context.Context, address string, r Request) (*Exchange, error) {
 	dialer := net.Dialer{Timeout: DialTimeout, Control: setAckTimeout, KeepAlive: -1}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
+	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.New("dial", KindUnsent, err)
 	}
+	connection := verifier.Wrap(opened)
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	x := &Exchange{connection: connection, close: sync.OnceFunc(func() {
 		stop()
--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -15,6 +15,7 @@
 	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger/wire"
+	"github.com/kingcupstile/kingcupstile/protocol/verifier"
 	"github.com/kingcupstile/kingcupstile/state/attempt"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 )
@@ -73,14 +74,14 @@
 func (d *Dialer) newClient() *http.Client {
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: &http.Transport{
+		Transport: verifier.New(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: d.connectTimeout}).DialContext,
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     30 * time.Second,
 			// With "Expect: 100-continue" the body is not sent before the endpoint answers; open's watchdog ends the wait.
 			ExpectContinueTimeout: time.Hour,
 			DisableCompression:    true,
-		},
+		}),
 	}
 }
 
--- a/transport/exchanger/client.go
+++ b/transport/exchanger/client.go
@@ -10,6 +10,7 @@
 	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger/wire"
+	"github.com/kingcupstile/kingcupstile/protocol/verifier"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 	"github.com/kingcupstile/kingcupstile/state/member"
 	"github.com/kingcupstile/kingcupstile/state/roster"
@@ -29,12 +30,12 @@
 
 // New returns a client, which opens connections when they are first needed.
 func New() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	return &Client{http: &http.Client{Transport: verifier.New(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}}}
+	})}}
 }
 
 // Exchange sends a heartbeat and returns the peer's own.
--- a/transport/gateway/status_test.go
+++ b/transport/gateway/status_test.go
@@ -19,18 +19,7 @@
 			}
 			defer g.Close()
 			d := newDeployment(t)
-			for id, service := range map[string]string{"pool-a": "pool", "pool-b": "pool", "desk-a": "desk", "desk-b": "desk"} {
-				d.store.Put("servers", id, map[string]any{"service": service, "addr": g.Address(), "zone": "z", "slots": 4, "state": "ready"})
-			}
-			d.await("sent to the garbler", func() bool {
-				before := d.runs("desk") + d.runs("pool")
-				for range 3 {
-					// Neither is sent twice, so that the budget for retries stays whole.
-					d.call(http.MethodPost, "/file/", "", nil)
-					d.call(http.MethodPost, "/draft/once/x", "", nil)
-				}
-				return d.runs("desk")+d.runs("pool") == before
-			})
+			d.leadTo(g)
 			for path, attempts := range map[string]int{"/look/": 2, "/file/": 1, "/draft/x": 2, "/draft/once/x": 1} {
 				before := g.Runs()
 				a := d.call(http.MethodPost, path, "", nil)
@@ -44,3 +33,20 @@
 		})
 	}
 }
+
+// leadTo has all runners be a garbler, and waits until requests go there.
+func (d *deployment) leadTo(g *garbler.Garbler) {
+	d.t.Helper()
+	for id, service := range map[string]string{"pool-a": "pool", "pool-b": "pool", "desk-a": "desk", "desk-b": "desk"} {
+		d.store.Put("servers", id, map[string]any{"service": service, "addr": g.Address(), "zone": "z", "slots": 4, "state": "ready"})
+	}
+	d.await("sent to the garbler", func() bool {
+		before := d.runs("desk") + d.runs("pool")
+		for range 3 {
+			// Neither is sent twice, so that the budget for retries stays whole.
+			d.call(http.MethodPost, "/file/", "", nil)
+			d.call(http.MethodPost, "/draft/once/x", "", nil)
+		}
+		return d.runs("desk")+d.runs("pool") == before
+	})
+}
--- a/transport/invoker/invoker.go
+++ b/transport/invoker/invoker.go
@@ -16,6 +16,7 @@
 	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/protocol/examiner"
 	"github.com/kingcupstile/kingcupstile/protocol/splitter"
+	"github.com/kingcupstile/kingcupstile/protocol/verifier"
 	"github.com/kingcupstile/kingcupstile/state/attempt"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 )
@@ -76,7 +77,7 @@
 // newClient returns a client that does not follow redirects, so that the caller gets them.
 func newClient(t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport:     t,
+		Transport:     verifier.New(t),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/transport/ranker/client.go
+++ b/transport/ranker/client.go
@@ -13,6 +13,7 @@
 	"github.com/kingcupstile/kingcupstile/coordination/executor"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger/wire"
+	"github.com/kingcupstile/kingcupstile/protocol/verifier"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 	"github.com/kingcupstile/kingcupstile/state/rank"
 )
@@ -38,10 +39,10 @@
 // New returns a client of the rank whose sidecar is at an IP address and port; direct calls the rank itself. A call to the
 // sidecar is bounded by timeout.
 func New(address string, direct kingcupstile.Worker, timeout time.Duration) *Client {
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: verifier.New(&http.Transport{
 		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout,
 		DisableCompression: true,
-	}}
+	})}
 	return &Client{http: client, sidecar: wire.NewRankProtobufClient("http://"+address, client), direct: direct, timeout: timeout}
 }
 
--- a/transport/relayer/relayer.go
+++ b/transport/relayer/relayer.go
@@ -15,6 +15,7 @@
 	"github.com/kingcupstile/kingcupstile/coordination/pauser"
 	"github.com/kingcupstile/kingcupstile/coordination/suspecter"
 	"github.com/kingcupstile/kingcupstile/protocol/messenger/wire"
+	"github.com/kingcupstile/kingcupstile/protocol/verifier"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 )
 
@@ -84,7 +85,7 @@
 	r := &Relayer{
 		self: self, snapshot: snapshot, send: send, lookup: lookup,
 		demands: func(time.Duration) []limiter.Demand { return nil },
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}},
+		client:  &http.Client{Transport: verifier.New(&http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute})},
 		log:     slog.New(slog.DiscardHandler),
 		scope:   tally.NoopScope,
 	}
--- a/transport/storer/storer.go
+++ b/transport/storer/storer.go
@@ -17,6 +17,7 @@
 	"github.com/kingcupstile/kingcupstile"
 	"github.com/kingcupstile/kingcupstile/protocol/examiner"
 	"github.com/kingcupstile/kingcupstile/protocol/translator"
+	"github.com/kingcupstile/kingcupstile/protocol/verifier"
 	"github.com/kingcupstile/kingcupstile/state/fault"
 	"github.com/kingcupstile/kingcupstile/state/object"
 	"github.com/kingcupstile/kingcupstile/state/roster"
@@ -54,7 +55,7 @@
 func New(address string, options ...Option) *Storer {
 	s := &Storer{
 		base:      "http://" + address,
-		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
+		client:    &http.Client{Transport: verifier.New(&http.Transport{MaxIdleConnsPerHost: 8})},
 		timeout:   DefaultTimeout,
 		watchWait: DefaultWatchWait,
 	}
