--- a/protocol/examiner/examiner.go
+++ b/protocol/examiner/examiner.go
@@ -17,6 +17,8 @@
 	KindStatus Kind = "status"
 	// KindField means that a field of the head is none of HTTP.
 	KindField Kind = "field"
+	// KindFraming means that the head does not tell where the body ends, or tells it twice.
+	KindFraming Kind = "framing"
 )
 
 // Error tells why a response is no final answer.
--- a/protocol/examiner/examiner_test.go
+++ b/protocol/examiner/examiner_test.go
@@ -58,6 +58,24 @@
 	}
 }
 
+// TestFraming guards against a head that tells two ends of its body, of which net/http takes one.
+func TestFraming(t *testing.T) {
+	const coding, length = "Transfer-Encoding: chunked\r\n", "content-length: 4\r\n"
+	for head, want := range map[string]examiner.Kind{
+		"HTTP/1.1 200 OK\r\n" + coding:          "",
+		"HTTP/1.1 200 OK\r\n" + length:          "",
+		"HTTP/1.0 200 OK\r\n" + length:          "",
+		"HTTP/1.1 200 OK\r\n" + length + coding: examiner.KindFraming,
+		"HTTP/1.1 200 OK\r\n" + coding + length: examiner.KindFraming,
+		"HTTP/1.0 200 OK\r\n" + coding:          examiner.KindFraming,
+		"HTTP/1.0 200 OK\r\n" + coding + length: examiner.KindFraming,
+	} {
+		if got := fault.KindOf[examiner.Kind](examiner.CheckHead([]byte(head + "\r\n"))); got != want {
+			t.Errorf("%q: %q, want %q", head, got, want)
+		}
+	}
+}
+
 // TestIsInformational guards against an interim answer that is taken for the final one.
 func TestIsInformational(t *testing.T) {
 	for line, want := range map[string]bool{
--- a/protocol/examiner/head.go
+++ b/protocol/examiner/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 
@@ -11,21 +12,31 @@
 )
 
 // CheckHead returns an Error if the head of a response, with the blank line that ends it, is none of HTTP/1 although net/http takes it for
-// one: the status line has another version or no status, or the name of a field is no token (RFC 9112, sections 4 and 5). A response may be
-// informational.
+// one (RFC 9112, sections 4 to 6): the status line has another version or no status, the name of a field is no token, or the fields do not
+// tell where the body ends. A response may be informational.
 func CheckHead(head []byte) error {
 	first, lines, _ := bytes.Cut(head, []byte("\n"))
 	if err := checkStatusLine(trimEnd(first)); err != nil {
 		return err
 	}
+	hasCoding, hasLength := false, false
 	for line := range bytes.Lines(lines) {
 		line = trimEnd(line)
 		if len(line) == 0 || isFolded(line) {
 			continue
 		}
-		if name, _, found := bytes.Cut(line, []byte(":")); !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if !found || !httpguts.ValidHeaderFieldName(string(name)) {
 			return fault.Newf("check answer", KindField, "name %q", name)
 		}
+		hasCoding = hasCoding || strings.EqualFold(string(name), "Transfer-Encoding")
+		hasLength = hasLength || strings.EqualFold(string(name), "Content-Length")
+	}
+	switch {
+	case hasCoding && hasLength:
+		return fault.Newf("check answer", KindFraming, "a transfer coding and a length")
+	case hasCoding && bytes.HasPrefix(first, []byte("HTTP/1.0")):
+		return fault.Newf("check answer", KindFraming, "a transfer coding in %q", trimEnd(first))
 	}
 	return nil
 }
