--- a/protocol/examiner/examiner_test.go
+++ b/protocol/examiner/examiner_test.go
@@ -58,6 +58,22 @@
 	}
 }
 
+// TestStatusLine guards against a status line that net/http takes for one.
+func TestStatusLine(t *testing.T) {
+	for line, want := range map[string]examiner.Kind{
+		"HTTP/1.1 200 OK": "", "HTTP/1.1 200": "", "HTTP/1.1 200 ": "", "HTTP/1.0 404 Not \xfcber": "", "HTTP/1.1  200 OK": "",
+		"HTTP/1.1 100 Continue": "", "HTTP/1.1 200 all\tright": "",
+		"HTTP/1.1 200 O\rK": examiner.KindStatus, "HTTP/1.1 200 O\x00K": examiner.KindStatus, "HTTP/1.1 200 O\x7fK": examiner.KindStatus,
+		"HTTP/1.1 000 OK": examiner.KindStatus, "HTTP/1.1 600 OK": examiner.KindStatus, "HTTP/1.1 +20 OK": examiner.KindStatus,
+		"HTTP/1.1 20 OK": examiner.KindStatus, "HTTP/1.1": examiner.KindStatus, "HTTP/2.0 200 OK": examiner.KindVersion,
+		"": examiner.KindVersion, "garbage 200 OK": examiner.KindVersion,
+	} {
+		if got := fault.KindOf[examiner.Kind](examiner.CheckHead([]byte(line + "\r\n\r\n"))); got != want {
+			t.Errorf("%q: %q, want %q", line, got, want)
+		}
+	}
+}
+
 // TestFraming guards against a head that tells two ends of its body, of which net/http takes one.
 func TestFraming(t *testing.T) {
 	const coding, length = "Transfer-Encoding: chunked\r\n", "content-length: 4\r\n"
--- a/protocol/examiner/head.go
+++ b/protocol/examiner/head.go
@@ -12,8 +12,8 @@
 )
 
 // CheckHead returns an Error if the head of a response, with the blank line that ends it, is none of HTTP/1 although net/http takes it for
-// one (RFC 9112, sections 4 to 6): the status line has another version or no status, the name of a field is no token, or the fields do not
-// tell where the body ends. A response may be informational.
+// one (RFC 9112, sections 4 to 6): the status line has another version, no status or a control byte, the name of a field is no token, or
+// the fields do not tell where the body ends. A response may be informational.
 func CheckHead(head []byte) error {
 	first, lines, _ := bytes.Cut(head, []byte("\n"))
 	if err := checkStatusLine(trimEnd(first)); err != nil {
@@ -47,7 +47,7 @@
 	if len(words) == 0 || !bytes.HasPrefix(words[0], []byte("HTTP/1.")) {
 		return fault.Newf("check answer", KindVersion, "status line %q", line)
 	}
-	if status := statusOf(words); status < minStatus || status > maxStatus {
+	if status := statusOf(words); status < minStatus || status > maxStatus || !httpguts.ValidHeaderFieldValue(string(line)) {
 		return fault.Newf("check answer", KindStatus, "status line %q", line)
 	}
 	return nil
