--- a/protocol/verifier/verifier.go
+++ b/protocol/verifier/verifier.go
@@ -44,6 +44,7 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
+	Trailers(response)
 	response.Request = r
 	return response, nil
 }
--- a/standin/garbler/answers.go
+++ b/standin/garbler/answers.go
@@ -35,7 +35,7 @@
 
 // Broken returns answers that are none, or that are not whole. Each would be a valid listing of the store if it were one.
 func Broken() []Answer {
-	return slices.Concat(brokenNames(), brokenBytes(), brokenFramings(), brokenEnds())
+	return slices.Concat(brokenNames(), brokenBytes(), brokenFramings(), brokenTrailers(), brokenEnds())
 }
 
 // Sound returns whole answers that are written in other ways than most servers write them.
--- a/transport/conduit/conduit.go
+++ b/transport/conduit/conduit.go
@@ -109,6 +109,7 @@
 		x.close()
 		return nil, fault.New("read answer", KindCut, errors.Wrapf(err, "request written in full: %t", !partial))
 	}
+	verifier.Trailers(x.answer)
 	return x, nil
 }
 
