--- a/transport/storer/storer.go
+++ b/transport/storer/storer.go
@@ -199,7 +199,10 @@
 		return nil, nil, fault.New(r.op, unansweredKind(r.method, err), err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
+	if err == nil && len(answer) > maxBody {
+		err = errors.Newf("answer exceeds the limit of %d bytes", maxBody)
+	}
 	if err != nil {
 		return nil, nil, fault.New(r.op, unansweredKind(r.method, err), err)
 	}
