--- a/standin/fleet/status_test.go
+++ b/standin/fleet/status_test.go
@@ -21,14 +21,7 @@
 		g, err := garbler.New(line)
 		check(t, err)
 		name := "desk-" + string(rune('a'+i))
-		addresses, err := d.fleet.StartEndpoint(name, centre, "desk", g.Address())
-		check(t, err)
-		r, err := relay.New(addresses.Peers)
-		check(t, err)
-		d.relays["desk"] = r
-		d.fleet.Store().PutVM(roster.NewVM(name, roster.RoleEndpoint, roster.Centre(centre), roster.Pool("desk"),
-			roster.PeerAddress(r.Address())))
-		d.awaitEndpoint(t, "desk")
+		stop := d.replaceDesk(t, name, g.Address())
 		var answers []string
 		for until := time.Now().Add(testTimeout); g.Runs() == 0 && time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
 			q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, d.entry+"/desk/v1/orders", strings.NewReader("order for "+name))
@@ -45,8 +38,24 @@
 		if g.Runs() == 0 || len(answers) > 0 {
 			t.Errorf("%q: %d requests ran, answers %q", line, g.Runs(), answers)
 		}
+		stop()
+		g.Close()
+	}
+}
+
+// replaceDesk starts an endpoint of the desk whose runner is at an address, and waits until the entry has connected to it; the function
+// that it returns stops the endpoint.
+func (d *testbed) replaceDesk(t *testing.T, name, runner string) (stop func()) {
+	t.Helper()
+	addresses, err := d.fleet.StartEndpoint(name, centre, "desk", runner)
+	check(t, err)
+	r, err := relay.New(addresses.Peers)
+	check(t, err)
+	d.relays["desk"] = r
+	d.fleet.Store().PutVM(roster.NewVM(name, roster.RoleEndpoint, roster.Centre(centre), roster.Pool("desk"), roster.PeerAddress(r.Address())))
+	d.awaitEndpoint(t, "desk")
+	return func() {
 		check(t, d.fleet.Stop(name))
 		r.Close()
-		g.Close()
 	}
 }
--- a/transport/fronter/writer.go
+++ b/transport/fronter/writer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"mime"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -88,9 +89,25 @@
 // abort ends an incomplete answer: an event stream with an error event, any other by aborting the connection.
 func (w *writer) abort(p explainer.Problem) error {
 	if !w.isEventStream {
+		w.reset()
 		panic(http.ErrAbortHandler)
 	}
 	w.context.Response().Header().Set(explainer.HeaderOutcome, string(p.Outcome))
 	_, err := w.context.Response().Write(append(append([]byte("event: error\ndata: "), p.JSON()...), "\n\n"...))
 	return err
 }
+
+// reset resets the connection of a caller of HTTP/1.0, who takes its end for that of the answer.
+func (w *writer) reset() {
+	if w.context.Request().ProtoAtLeast(1, 1) {
+		return
+	}
+	connection, _, err := w.context.Response().Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = connection.Close()
+}
