--- a/protocol/verifier/conn.go
+++ b/protocol/verifier/conn.go
@@ -20,7 +20,7 @@
 const (
 	// KindReset means that the connection was broken off where its end would be that of the answer.
 	KindReset Kind = "reset"
-	// KindUnasked means that bytes arrived before there was a request (RFC 9112, section 9.2).
+	// KindUnasked means that bytes arrived before a request, or after the whole answer to one (RFC 9112, section 9.2).
 	KindUnasked Kind = "unasked"
 	// KindTooLarge means that a head is larger than maxHeadBytes.
 	KindTooLarge Kind = "large"
@@ -32,8 +32,8 @@
 // tcpClose is the state of a connection that is over in both directions (TCP_CLOSE of Linux).
 const tcpClose = 7
 
-// Conn is the client's side of a TCP connection on which only the peer's own end of it (FIN) reads as io.EOF. It checks the heads that
-// arrive as they are, since net/http drops what it disregards.
+// Conn is the client's side of a TCP connection on which only the peer's own end of it (FIN) reads as io.EOF. It checks what
+// arrives as it is, since net/http drops what it disregards.
 //
 // The kernel reports a reset or a timeout of a connection once, to the next call that reads or writes. Where that writes, reads return
 // the bytes that had arrived and then their end as if the peer had closed the connection in order (RFC 9112, section 8).
@@ -43,14 +43,18 @@
 	writing sync.Mutex
 	// writeErr is that of the first write that failed; writing guards it.
 	writeErr error
-	heads    heads
+	answers  answers
 }
 
-// Wrap returns a connection that tells a reset from its end.
-func Wrap(c net.Conn) *Conn { return &Conn{Conn: c} }
+// Wrap returns a connection that checks what arrives on it.
+func Wrap(c net.Conn) *Conn { return &Conn{Conn: c, answers: answers{stage: stageUnasked}} }
 
-// Write writes to the connection, and keeps the first error.
+// Write writes to the connection, and keeps the first error. It writes nothing once bytes have arrived that are no answer, as what follows
+// them would be taken for the next one.
 func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.answers.check(); err != nil {
+		return 0, err
+	}
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
@@ -60,11 +64,12 @@
 	return n, err
 }
 
-// Read reads from the connection. It returns an Error of this package or of examiner in place of the end of a head that is none, and an
-// Error of KindReset in place of io.EOF where a write was told that the connection failed.
+// Read reads from the connection. It returns an Error of this package or of examiner in place of the end of a head that is none and of
+// bytes that belong to no answer, and an Error of KindReset in place of io.EOF where a write was told that the connection failed.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if broken := c.heads.scan(p[:n]); broken != nil {
+	n, broken := c.answers.scan(p[:n])
+	if broken != nil {
 		// net/http fails the request by this, and does not use the connection again.
 		return 0, broken
 	}
@@ -76,8 +81,8 @@
 	return n, err
 }
 
-// Expect says that a request is about to be written, so that the next bytes to arrive are the head of its answer.
-func (c *Conn) Expect() { c.heads.expect() }
+// Expect says that a request with a method is about to be written, so that the next bytes to arrive are the head of its answer.
+func (c *Conn) Expect(method string) { c.answers.expect(method) }
 
 // failure returns the error of the connection that a write was told of, nil if its peer ended it in order.
 func (c *Conn) failure() error {
--- a/protocol/verifier/conn_test.go
+++ b/protocol/verifier/conn_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"testing"
@@ -48,7 +49,7 @@
 	}
 	t.Cleanup(func() { _ = c.Close() })
 	wrapped := verifier.Wrap(c)
-	wrapped.Expect()
+	wrapped.Expect(http.MethodPost)
 	return wrapped
 }
 
--- a/protocol/verifier/verifier.go
+++ b/protocol/verifier/verifier.go
@@ -33,7 +33,7 @@
 func (v *Verifier) RoundTrip(r *http.Request) (*http.Response, error) {
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok {
-			c.Expect()
+			c.Expect(r.Method)
 		}
 	}})
 	response, err := v.transport.RoundTrip(r.WithContext(ctx))
--- a/standin/fleet/broken_test.go
+++ b/standin/fleet/broken_test.go
@@ -57,8 +57,9 @@
 	connection, err := net.Dial("tcp", strings.TrimPrefix(d.entry, "http://"))
 	check(t, err)
 	defer func() { _ = connection.Close() }()
-	_, err = fmt.Fprintf(connection, "POST /desk/v1/orders %s\r\nHost: h\r\nAuthorization: Bearer %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
-		version, key, len(body), body)
+	_, err = fmt.Fprintf(connection, "POST /desk/v1/orders %s\r\nHost: h\r\nAuthorization: Bearer %s\r\nConnection: close\r\n", version, key)
+	check(t, err)
+	_, err = fmt.Fprintf(connection, "Content-Length: %d\r\n\r\n%s", len(body), body)
 	check(t, err)
 	a, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	if err != nil {
