--- a/standin/garbler/garbler.go
+++ b/standin/garbler/garbler.go
@@ -37,6 +37,7 @@
 type Garbler struct {
 	listener net.Listener
 	line     string
+	late     string
 	early    bool
 	resets   bool
 	header   http.Header
@@ -62,6 +63,10 @@
 // the rest. A body that fits into the buffers of the connection, or none, is written in full before that.
 func Reset() Option { return func(g *Garbler) { g.early, g.resets = true, true } }
 
+// Late has the garbler keep a connection open after an answer, and send a text, like a second answer that comes late, in place of that to
+// the next request there.
+func Late(text string) Option { return func(g *Garbler) { g.late = text } }
+
 // New returns a garbler that listens on loopback and answers with a status line and a whole body.
 func New(line string, options ...Option) (*Garbler, error) {
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -129,7 +134,8 @@
 		_ = tcp.SetReadBuffer(readBuffer)
 		_ = tcp.SetLinger(0)
 	}
-	r, err := http.ReadRequest(bufio.NewReader(connection))
+	source := bufio.NewReader(connection)
+	r, err := http.ReadRequest(source)
 	if err != nil {
 		return
 	}
@@ -145,5 +151,9 @@
 		time.Sleep(resetDelay)
 	case g.early:
 		_, _ = io.Copy(io.Discard, r.Body)
+	case g.late != "":
+		if _, err := http.ReadRequest(source); err == nil {
+			_, _ = io.WriteString(connection, g.late)
+		}
 	}
 }
--- a/transport/invoker/invoker.go
+++ b/transport/invoker/invoker.go
@@ -51,8 +51,7 @@
 	baseURL        string
 	idleTimeout    time.Duration
 	connectTimeout time.Duration
-	pooled         *http.Client
-	fresh          *http.Client
+	client         *http.Client
 }
 
 // Option sets a field of an Invoker under construction.
@@ -68,8 +67,8 @@
 		option(i)
 	}
 	dial := (&net.Dialer{Timeout: i.connectTimeout}).DialContext
-	i.pooled = newClient(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: 256, DisableCompression: true})
-	i.fresh = newClient(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true})
+	// A second answer that comes late would be taken for the next one on a connection that is used again.
+	i.client = newClient(&http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true})
 	return i
 }
 
@@ -96,7 +95,7 @@
 	for name, values := range a.Header() {
 		request.Header[name] = values
 	}
-	response, err := i.clientFor(a).Do(request)
+	response, err := i.client.Do(request)
 	switch {
 	case err != nil && !connected.Load():
 		return fault.New("invoke", kingcupstile.KindUnavailable, err)
@@ -126,15 +125,6 @@
 	return n, err
 }
 
-// clientFor returns the HTTP client for an attempt. net/http repeats a call by itself only on a reused connection,
-// so an attempt that must not be repeated gets a new one.
-func (i *Invoker) clientFor(a attempt.Attempt) *http.Client {
-	if a.IsRepeatable() {
-		return i.pooled
-	}
-	return i.fresh
-}
-
 // singleUse returns a body that the HTTP client cannot rewind, so that it never sends the call twice.
 func singleUse(body []byte) io.Reader {
 	if len(body) == 0 {
--- a/transport/storer/silence_test.go
+++ b/transport/storer/silence_test.go
@@ -17,12 +17,11 @@
 
 const (
 	timeout = time.Second
-	pooled  = 8
+	calls   = 8
 )
 
-// TestSilentConnections guards against calls that time out one after another on dead connections: every pooled
-// connection to the platform stops answering without being closed. The first call must time out, and the next must be
-// answered on a new connection.
+// TestSilentConnections guards against calls that time out one after another on connections that stopped answering without being closed. A
+// call whose connection goes silent must time out, and the next must be answered; so must calls after others whose connections did.
 func TestSilentConnections(t *testing.T) {
 	server := httptest.NewServer(platform.Handler(platform.New()))
 	defer server.Close()
@@ -33,7 +32,7 @@
 	defer r.Close()
 	s := storer.New(r.Address(), storer.Timeout(timeout))
 	var group sync.WaitGroup
-	for i := range pooled {
+	for i := range calls {
 		group.Go(func() {
 			if _, err := s.Put(t.Context(), object.New(object.KindClaim, strconv.Itoa(i))); err != nil {
 				t.Error(err)
@@ -41,14 +40,30 @@
 		})
 	}
 	group.Wait()
-	if r.Blackhole() == 0 {
-		t.Fatal("no connection was pooled")
+	if r.Accepted() != calls {
+		t.Errorf("%d connections for %d calls", r.Accepted(), calls)
+	}
+	r.Blackhole()
+	if _, err := s.Put(t.Context(), object.New(object.KindClaim, "after")); err != nil {
+		t.Errorf("a call after connections that went silent: %v", err)
 	}
 	begun := time.Now()
-	_, err = s.Put(t.Context(), object.New(object.KindClaim, "lost"))
-	if kind := fault.KindOf[kingcupstile.Kind](err); kind != kingcupstile.KindUncertain {
+	r.SetDelay(timeout / 4)
+	lost := make(chan error, 1)
+	go func() {
+		_, err := s.Put(t.Context(), object.New(object.KindClaim, "lost"))
+		lost <- err
+	}()
+	for r.Accepted() == calls+1 {
+		time.Sleep(time.Millisecond)
+	}
+	if r.Blackhole() == 0 {
+		t.Fatal("no call was under way")
+	}
+	if kind := fault.KindOf[kingcupstile.Kind](<-lost); kind != kingcupstile.KindUncertain {
 		t.Errorf("a write without an answer has the kind %q", kind)
 	}
+	r.SetDelay(0)
 	if _, err := s.Get(t.Context(), object.KindClaim, "0"); err != nil {
 		t.Errorf("the next call: %v", err)
 	}
--- a/transport/storer/storer.go
+++ b/transport/storer/storer.go
@@ -31,7 +31,8 @@
 // maxBody is how much of an answer is read, in bytes; it is above the platform's largest value for the VM list.
 const maxBody = 16 << 20
 
-// Storer is the platform's client; it implements the root package's Store and VMLister.
+// Storer is the platform's client; it implements the root package's Store and VMLister. Each call has a connection of its own, as a second
+// answer that comes late would else be taken for the next one.
 type Storer struct {
 	base      string
 	client    *http.Client
@@ -54,7 +55,7 @@
 func New(address string, options ...Option) *Storer {
 	s := &Storer{
 		base:      "http://" + address,
-		client:    &http.Client{Transport: verifier.New(&http.Transport{MaxIdleConnsPerHost: 8})},
+		client:    &http.Client{Transport: verifier.New(&http.Transport{DisableKeepAlives: true})},
 		timeout:   DefaultTimeout,
 		watchWait: DefaultWatchWait,
 	}
@@ -192,10 +193,6 @@
 	}
 	response, err := s.client.Do(call)
 	if err != nil {
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			// What silenced this connection may have silenced the idle ones too, so the next call opens a new one.
-			s.client.CloseIdleConnections()
-		}
 		return nil, nil, fault.New(r.op, unansweredKind(r.method, err), err)
 	}
 	defer func() { _ = response.Body.Close() }()
