--- a/shape_test.go
+++ b/shape_test.go
@@ -158,3 +158,30 @@
 		}
 	}
 }
+
+// TestAnswersAreVerified guards against an HTTP client of the product that takes answers as net/http gives them.
+func TestAnswersAreVerified(t *testing.T) {
+	banned := []string{
+		"http.DefaultClient", "http.DefaultTransport", "http.Get(", "http.Post(", "http.PostForm(", "http.Head(", "http.Client{}",
+	}
+	product := []string{"coordination", "protocol", "platform", "transport", "commands", "cmd"}
+	for _, p := range listPackages(t) {
+		if top, _, _ := strings.Cut(strings.TrimPrefix(p.ImportPath, module+"/"), "/"); !slices.Contains(product, top) {
+			continue
+		}
+		for _, file := range p.GoFiles {
+			text, err := os.ReadFile(filepath.Join(p.Dir, file))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, name := range banned {
+				if strings.Contains(string(text), name) {
+					t.Errorf("%s/%s uses %s", p.ImportPath, file, name)
+				}
+			}
+			if strings.Contains(string(text), "&http.Transport{") && !strings.Contains(string(text), "verifier.New(") {
+				t.Errorf("%s/%s has a transport without verifier", p.ImportPath, file)
+			}
+		}
+	}
+}
