--- a/protocol/examiner/examiner_test.go
+++ b/protocol/examiner/examiner_test.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// TestCheckHead guards against a line that net/http takes for a field, and whose name is none.
-func TestCheckHead(t *testing.T) {
+// TestNames guards against a line that net/http takes for a field, and whose name is none.
+func TestNames(t *testing.T) {
 	for lines, want := range map[string]examiner.Kind{
 		"":                                     "",
 		"A: 1\r\n":                             "",
@@ -52,7 +52,7 @@
 		"Good: 1\r\nBad one: 2\r\nGood: 3\r\n": examiner.KindField,
 	} {
 		head := "HTTP/1.1 200 OK\r\n" + lines + "\r\n"
-		if got := fault.KindOf[examiner.Kind](examiner.CheckHead([]byte(head))); got != want {
+		if got := fault.KindOf[examiner.Kind](errorOf(head)); got != want {
 			t.Errorf("%q: %q, want %q", lines, got, want)
 		}
 	}
@@ -68,7 +68,7 @@
 		"HTTP/1.1 20 OK": examiner.KindStatus, "HTTP/1.1": examiner.KindStatus, "HTTP/2.0 200 OK": examiner.KindVersion,
 		"": examiner.KindVersion, "garbage 200 OK": examiner.KindVersion,
 	} {
-		if got := fault.KindOf[examiner.Kind](examiner.CheckHead([]byte(line + "\r\n\r\n"))); got != want {
+		if got := fault.KindOf[examiner.Kind](errorOf(line + "\r\n\r\n")); got != want {
 			t.Errorf("%q: %q, want %q", line, got, want)
 		}
 	}
@@ -86,20 +86,42 @@
 		"HTTP/1.0 200 OK\r\n" + coding:          examiner.KindFraming,
 		"HTTP/1.0 200 OK\r\n" + coding + length: examiner.KindFraming,
 	} {
-		if got := fault.KindOf[examiner.Kind](examiner.CheckHead([]byte(head + "\r\n"))); got != want {
+		if got := fault.KindOf[examiner.Kind](errorOf(head + "\r\n")); got != want {
 			t.Errorf("%q: %q, want %q", head, got, want)
 		}
 	}
 }
 
-// TestIsInformational guards against an interim answer that is taken for the final one.
-func TestIsInformational(t *testing.T) {
-	for line, want := range map[string]bool{
-		"HTTP/1.1 100 Continue\r\n": true, "HTTP/1.1 103\r\n": true, "HTTP/1.1 200 OK\r\n": false, "HTTP/1.1 101 X\r\n": false,
-		"HTTP/1.1 1000 X\r\n": false, "\r\n": false, "HTTP/1.1\r\n": false,
+// TestReadHead guards against a body whose end is not the one that its head tells.
+func TestReadHead(t *testing.T) {
+	for head, want := range map[string]examiner.Head{
+		"HTTP/1.1 100 Continue\r\n":                                  {Status: 100},
+		"HTTP/1.1 200 OK\r\n":                                        {Status: 200},
+		"HTTP/1.1 200 OK\r\ncontent-length:\t7 \r\n":                 {Status: 200, Length: 7, HasLength: true},
+		"HTTP/1.0 404\r\nContent-Length: 0\r\nA: 1\r\n":              {Status: 404, HasLength: true},
+		"HTTP/1.1 200 OK\nTRANSFER-ENCODING: chunked\nA: 1\n":        {Status: 200, IsChunked: true},
+		"HTTP/1.1  200  OK\r\nA: Content-Length: 5,\r\n Name: 7\r\n": {Status: 200},
 	} {
-		if got := examiner.IsInformational([]byte(line + "\r\n")); got != want {
-			t.Errorf("%q: %t", line, got)
+		if got, err := examiner.ReadHead([]byte(head + "\r\n")); err != nil || got != want {
+			t.Errorf("%q: %+v, %v", head, got, err)
 		}
 	}
 }
+
+// TestFollowers guards against an interim answer that is taken for the final one, and against a body where none can be.
+func TestFollowers(t *testing.T) {
+	for status, want := range map[int]struct{ isInformational, hasBody bool }{
+		100: {true, false}, 101: {false, false}, 103: {true, false}, 200: {false, true}, 204: {false, false}, 304: {false, false},
+		503: {false, true},
+	} {
+		if h := (examiner.Head{Status: status}); h.IsInformational() != want.isInformational || h.HasBody() != want.hasBody {
+			t.Errorf("%d: %t, %t", status, h.IsInformational(), h.HasBody())
+		}
+	}
+}
+
+// errorOf returns why a head is none.
+func errorOf(head string) error {
+	_, err := examiner.ReadHead([]byte(head))
+	return err
+}
--- a/protocol/verifier/answers.go
+++ b/protocol/verifier/answers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"sync"
 
 	"github.com/kingcupstile/kingcupstile/protocol/examiner"
@@ -11,6 +12,9 @@
 // maxHeadBytes limits how much of a head is kept to be checked; heads of runners and of the platform are a few hundred bytes.
 const maxHeadBytes = 64 << 10
 
+// headBytes is what most heads fit into.
+const headBytes = 512
+
 // stage is how much of an answer has arrived.
 type stage string
 
@@ -25,9 +29,10 @@
 
 // answers checks the answers on a connection, one for each request: their heads, and that nothing follows them.
 type answers struct {
-	mu     sync.Mutex
-	stage  stage
-	method string
+	mu    sync.Mutex
+	stage stage
+	// isOfHead is whether the answer is one to HEAD, which has no body.
+	isOfHead bool
 	// text is what has arrived of a head, and line where its last line begins.
 	text []byte
 	line int
@@ -36,17 +41,14 @@
 	err    error
 }
 
-// expect has the next bytes count as the beginning of the answer to a request with a method.
-func (a *answers) expect(method string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.stage, a.method, a.text, a.line = stageHead, method, a.text[:0], 0
-}
-
-// check returns why no answer can arrive any more, nil if one can.
-func (a *answers) check() error {
+// expect takes bytes that are about to be written, and returns why no answer can arrive any more, nil if one can. The next bytes to arrive
+// count as the head of an answer if these begin a request: there was none before, or the answer to the last one is whole.
+func (a *answers) expect(written []byte) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.stage == stageUnasked || a.stage == stageBody && a.extent.part == partNone {
+		a.stage, a.isOfHead = stageHead, bytes.HasPrefix(written, []byte(http.MethodHead+" "))
+	}
 	return a.err
 }
 
@@ -83,6 +85,9 @@
 	if !isLine {
 		end = len(arrived)
 	}
+	if a.text == nil {
+		a.text = make([]byte, 0, headBytes)
+	}
 	a.text = append(a.text, arrived[:end]...)
 	switch {
 	case len(a.text) > maxHeadBytes:
@@ -97,9 +102,9 @@
 
 // endHead checks a whole head; one of an informational answer is followed by another.
 func (a *answers) endHead() {
-	a.err = examiner.CheckHead(a.text)
-	if a.err == nil && !examiner.IsInformational(a.text) {
-		a.stage, a.extent = stageBody, newExtent(a.text, a.method)
+	head, err := examiner.ReadHead(a.text)
+	if a.err = err; err == nil && !head.IsInformational() {
+		a.stage, a.extent = stageBody, newExtent(head, a.isOfHead)
 	}
-	a.text, a.line = nil, 0
+	a.text, a.line = a.text[:0], 0
 }
--- a/protocol/verifier/answers_test.go
+++ b/protocol/verifier/answers_test.go
@@ -59,7 +59,9 @@
 			text := []byte(test.answer + extra)
 			for cut := range text {
 				c := verifier.Wrap(&scripted{pieces: [][]byte{bytes.Clone(text[:cut]), bytes.Clone(text[cut:])}})
-				c.Expect(test.method)
+				if _, err := c.Write([]byte(test.method + " / HTTP/1.1\r\n\r\n")); err != nil {
+					t.Fatal(err)
+				}
 				got, err := io.ReadAll(c)
 				if !test.hasEnd {
 					if err != nil || !bytes.Equal(got, text) {
@@ -70,7 +72,6 @@
 				if string(got) != test.answer || fault.KindOf[verifier.Kind](err) != verifier.KindUnasked {
 					t.Errorf("cut after %d: %q, %v", cut, got, err)
 				}
-				c.Expect(test.method)
 				if n, err := c.Write([]byte("next")); n > 0 || fault.KindOf[verifier.Kind](err) != verifier.KindUnasked {
 					t.Errorf("cut after %d: %d bytes written, %v", cut, n, err)
 				}
@@ -84,7 +85,9 @@
 	for cut := range len(inChunks) {
 		c := verifier.Wrap(&scripted{pieces: [][]byte{[]byte(sound), []byte(inChunks[:cut]), []byte(inChunks[cut:]), []byte(sound)}})
 		for _, want := range []string{sound, inChunks, sound} {
-			c.Expect(http.MethodPost)
+			if _, err := c.Write([]byte("POST / HTTP/1.1\r\n\r\n")); err != nil {
+				t.Fatal(err)
+			}
 			got := make([]byte, len(want))
 			if _, err := io.ReadFull(c, got); err != nil || string(got) != want {
 				t.Fatalf("cut after %d: %q, %v", cut, got, err)
--- a/protocol/verifier/body.go
+++ b/protocol/verifier/body.go
@@ -16,7 +16,7 @@
 
 // Trailers has the body of an answer end with an Error of examiner in place of io.EOF if a trailer is none.
 func Trailers(answer *http.Response) {
-	if answer.Body != http.NoBody {
+	if len(answer.TransferEncoding) > 0 {
 		answer.Body = &body{ReadCloser: answer.Body, answer: answer}
 	}
 }
--- a/protocol/verifier/conn.go
+++ b/protocol/verifier/conn.go
@@ -52,7 +52,7 @@
 // Write writes to the connection, and keeps the first error. It writes nothing once bytes have arrived that are no answer, as what follows
 // them would be taken for the next one.
 func (c *Conn) Write(p []byte) (int, error) {
-	if err := c.answers.check(); err != nil {
+	if err := c.answers.expect(p); err != nil {
 		return 0, err
 	}
 	c.writing.Lock()
@@ -81,9 +81,6 @@
 	return n, err
 }
 
-// Expect says that a request with a method is about to be written, so that the next bytes to arrive are the head of its answer.
-func (c *Conn) Expect(method string) { c.answers.expect(method) }
-
 // failure returns the error of the connection that a write was told of, nil if its peer ended it in order.
 func (c *Conn) failure() error {
 	switch {
--- a/protocol/verifier/conn_test.go
+++ b/protocol/verifier/conn_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"syscall"
 	"testing"
@@ -48,9 +47,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
-	wrapped := verifier.Wrap(c)
-	wrapped.Expect(http.MethodPost)
-	return wrapped
+	return verifier.Wrap(c)
 }
 
 // TestEndOfConnection guards against a reset that reads as the end of the connection, and against an end in order that counts as a reset,
--- a/protocol/verifier/extent.go
+++ b/protocol/verifier/extent.go
@@ -1,10 +1,10 @@
 package verifier
 
 import (
-	"bufio"
 	"bytes"
-	"net/http"
 	"strconv"
+
+	"github.com/kingcupstile/kingcupstile/protocol/examiner"
 )
 
 // part is what the next bytes of a body are.
@@ -24,7 +24,7 @@
 	partNone part = "none"
 )
 
-// extent follows a body to its end, as net/http frames it (RFC 9112, section 6.3).
+// extent follows a body to its end (RFC 9112, section 6.3).
 type extent struct {
 	part part
 	// isChunked is whether the data is that of a chunk.
@@ -38,20 +38,15 @@
 // maxLineBytes limits how much of a line is kept; net/http rejects longer ones in chunks.
 const maxLineBytes = 4 << 10
 
-// newExtent returns the extent of the body after a whole head, of the answer to a request with a method.
-func newExtent(head []byte, method string) extent {
-	answer, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), &http.Request{Method: method})
-	if err != nil {
-		return extent{}
-	}
-	_ = answer.Body.Close()
+// newExtent returns the extent of the body that follows a head.
+func newExtent(head examiner.Head, isOfHead bool) extent {
 	switch {
-	case answer.Body == http.NoBody:
+	case isOfHead || !head.HasBody() || head.HasLength && head.Length == 0:
 		return extent{part: partNone}
-	case len(answer.TransferEncoding) > 0:
+	case head.IsChunked:
 		return extent{part: partSize, isChunked: true}
-	case answer.ContentLength > 0:
-		return extent{part: partData, left: uint64(answer.ContentLength)}
+	case head.HasLength:
+		return extent{part: partData, left: head.Length}
 	}
 	return extent{}
 }
--- a/protocol/verifier/verifier.go
+++ b/protocol/verifier/verifier.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 
 	"github.com/kingcupstile/kingcupstile/protocol/examiner"
 )
@@ -31,12 +30,7 @@
 // RoundTrip sends a request and returns the head of its answer, whose body then ends with io.EOF only if it is whole. If what arrives is no
 // final answer of HTTP/1, it returns an Error of this package or of examiner, and the connection is closed.
 func (v *Verifier) RoundTrip(r *http.Request) (*http.Response, error) {
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*Conn); ok {
-			c.Expect(r.Method)
-		}
-	}})
-	response, err := v.transport.RoundTrip(r.WithContext(ctx))
+	response, err := v.transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
@@ -45,7 +39,6 @@
 		return nil, err
 	}
 	Trailers(response)
-	response.Request = r
 	return response, nil
 }
 
--- a/transport/conduit/conduit.go
+++ b/transport/conduit/conduit.go
@@ -89,7 +89,6 @@
 		x.close()
 		return nil, fault.New("write request", KindWithheld, nil)
 	}
-	connection.Expect(r.Method)
 	partial := false
 	if n, err := connection.Write(r.encode()); err != nil {
 		if n == 0 {
--- a/transport/gateway/resume_test.go
+++ b/transport/gateway/resume_test.go
@@ -14,13 +14,7 @@
 	const stream = "Content-Type: text/event-stream\r\n" + garbler.Fields
 	const inChunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + stream + "\r\n15\r\n"
 	begun := inChunks + events(1, 1) + "\r\n"
-	g, err := garbler.New("", garbler.Text(""), garbler.Header(http.Header{"X-Server-Seal": {"seal"}}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer g.Close()
-	d := newDeployment(t)
-	d.leadTo(g)
+	d, g := newGarbled(t)
 	for name, test := range map[string]struct {
 		text    string
 		isWhole bool
--- a/transport/gateway/status_test.go
+++ b/transport/gateway/status_test.go
@@ -37,13 +37,7 @@
 
 // TestBrokenAnswers guards against the same of heads that are none, and against answers that are not whole and look so to a caller.
 func TestBrokenAnswers(t *testing.T) {
-	g, err := garbler.New("", garbler.Text(""), garbler.Header(http.Header{"X-Server-Seal": {"seal"}}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer g.Close()
-	d := newDeployment(t)
-	d.leadTo(g)
+	d, g := newGarbled(t)
 	for i, answer := range garbler.Broken() {
 		g.SetTexts(answer.Text)
 		for _, path := range []string{"/look/", "/file/", "/draft/", "/draft/once/"} {
@@ -61,13 +55,7 @@
 
 // TestSoundAnswers guards against whole answers that count as broken.
 func TestSoundAnswers(t *testing.T) {
-	g, err := garbler.New("", garbler.Text(""), garbler.Header(http.Header{"X-Server-Seal": {"seal"}}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer g.Close()
-	d := newDeployment(t)
-	d.leadTo(g)
+	d, g := newGarbled(t)
 	for i, answer := range garbler.Sound() {
 		g.SetTexts(answer.Text)
 		for _, path := range []string{"/look/", "/file/", "/draft/", "/draft/once/"} {
@@ -79,6 +67,19 @@
 	}
 }
 
+// newGarbled returns a deployment whose runners are a garbler that signs its answers.
+func newGarbled(t *testing.T) (*deployment, *garbler.Garbler) {
+	t.Helper()
+	g, err := garbler.New("", garbler.Text(""), garbler.Header(http.Header{"X-Server-Seal": {"seal"}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	d := newDeployment(t)
+	d.leadTo(g)
+	return d, g
+}
+
 // leadTo has all runners be a garbler, and waits until requests go there.
 func (d *deployment) leadTo(g *garbler.Garbler) {
 	d.t.Helper()
